--- /dev/null
+++ b/src/main/java/ashlink/Rules.java
@@ -0,0 +1,780 @@
+// Interface: Gateway.java declares the settings, events and actions used here. All decisions are in this file.
+package ashlink;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+
+/**
+ * The decisions of one gateway, in the order in which a query meets them: taken, held, released to the lighter of
+ * two random engines within a bound on threads, watched, ended; then the feedback that moves the bounds, and
+ * what is believed of the engines. docs/design.md tells why.
+ */
+public final class Rules implements Gateway {
+
+    // ---- Constants: unit and reason --------------------------------------------------------------------------
+    private static final long MS = 1_000_000L;
+    /** Threads a core that seed an engine's bound: a little work overlaps with waits for the disks. */
+    private static final double SEED_THREADS = 1.5;
+    /** Step of the bound as a share of its seed, at least one thread: small, so that a wrong step costs little. */
+    private static final double STEP_SHARE = 0.25;
+    /** Gain in throughput that keeps a step up, and rise in response time that is a loss (the paper's 5%). */
+    private static final double THRESHOLD = 0.05;
+    /** Completions that close a period: the paper's number for stable means. */
+    private static final int PERIOD_COMPLETIONS = 100;
+    /** Nanoseconds after which a period closes while queries are held: feedback must not wait for ever. */
+    private static final long PERIOD_NS = 2_000 * MS;
+    /** Log of the response time over the usual one from which an engine is under pressure (2.5 times). */
+    private static final double PRESSED_LOG = Math.log(2.5);
+    /** Share of busy cores, and of granted memory, from which a report says busy. */
+    private static final double BUSY_CORES = 0.95;
+    private static final double BUSY_MEMORY = 0.95;
+    /** Nanoseconds for which a refusal by an engine counts as full, and a report as news. */
+    private static final long FRESH_NS = 2_000 * MS;
+    /** Weight of a new response time in an engine's mean: about the last ten queries. */
+    private static final double MEAN_WEIGHT = 0.1;
+    /** Quantile of a class's response times taken as its usual one, and the step of its tracker in logs. */
+    private static final double USUAL_QUANTILE = 0.25;
+    private static final double USUAL_STEP = 0.05;
+    /** Share of the cold budget that is used: estimates lie, and other gateways round up too. */
+    private static final double COLD_MARGIN = 0.6;
+    /** Share of its cores that an engine's capacity is counted at. */
+    private static final double CAPACITY = 0.85;
+    /** Nanoseconds before the deadline by which a held query gets its answer, and an attempt is cut off. */
+    private static final long ANSWER_NS = 60 * MS;
+    private static final long CUT_NS = 10 * MS;
+    /** Nanoseconds between rounds of house-keeping. */
+    private static final long TICK_NS = 50 * MS;
+    /** Nanoseconds between probes of an engine: a probe costs little, news older than this misleads. */
+    private static final long PROBE_NS = 500 * MS;
+    /** Missed probes in a row, and nanoseconds of silence with them, that make an engine silent. */
+    private static final int MISSED_PROBES = 2;
+    private static final long SILENT_NS = 700 * MS;
+    /** Nanoseconds an engine is left alone after a failed connection or a reset; doubled up to the second. */
+    private static final long AVOID_NS = 500 * MS;
+    private static final long AVOID_MOST_NS = 4_000 * MS;
+    /** Times its expected time from which a running query is taken for one with a bad plan, and restarts a query. */
+    private static final double BAD_PLAN = 4;
+    private static final int BAD_PLAN_RESTARTS = 2;
+    /** Memory granted over the estimate, and how fast the learnt correction follows. */
+    private static final double GRANT_MARGIN = 1.1;
+    private static final double GRANT_LEARN = 0.1;
+    /** Work in milliseconds assumed where nothing is told or learnt yet. */
+    private static final double UNKNOWN_WORK_MS = 100;
+    private static final long TICK_LABEL = 1;
+
+    // ---- What a gateway remembers ----------------------------------------------------------------------------
+    private static final class ClassState {
+        final QueryClass spec;
+        double usualLog;                 // log of the usual response time x threads over the estimate
+        double meanMs = UNKNOWN_WORK_MS; // mean estimated work
+        boolean seen;
+        double memoryBias = 1;           // learnt need over the estimate
+
+        ClassState(QueryClass spec) {
+            this.spec = spec;
+        }
+
+        double usualMs() {
+            return meanMs * Math.max(1, Math.exp(usualLog));
+        }
+    }
+
+    private static final class Query {
+        final long id;
+        final ClassState cls;
+        final KeyLine line;
+        final long tables;
+        final long takenNs;
+        final long deadlineNs;
+        final double workMs;             // estimate, corrected by what its class taught
+        final double estimateMs;
+        final double memoryMb;
+        long seq;
+        double worth;
+        boolean held;
+        boolean over;
+        Engine out;                      // engine of the attempt that is out
+        int attempts;
+        long sentNs;
+        long grantMb;
+        boolean cancelled;
+        int restarts;
+        Engine mayHaveRunOn;
+        long mayHaveRunNs;
+
+        Query(Request r, ClassState cls, KeyLine line, double estimateMs, long now) {
+            this.id = r.id();
+            this.cls = cls;
+            this.line = line;
+            this.tables = r.tables();
+            this.takenNs = now;
+            this.deadlineNs = r.deadlineNs();
+            this.estimateMs = estimateMs;
+            this.workMs = estimateMs * Math.exp(cls.usualLog);
+            this.memoryMb = r.memoryMb();
+            this.worth = cls.spec.worth();
+        }
+
+        long usualNs() {
+            return (long) (workMs / cls.spec.threads() * MS);
+        }
+
+        long aimNs() {
+            return takenNs + cls.spec.aimNs() + (long) (cls.spec.aimStretch() * usualNs());
+        }
+    }
+
+    private static final class KeyLine {
+        final ArrayDeque<Query> waiting = new ArrayDeque<>();
+        long restUntilNs = Long.MIN_VALUE;
+    }
+
+    private record ColdSend(long atNs, double workMs) { }
+
+    private static final class Engine {
+        final String name;
+        String zone;
+        long cell;
+        String kind;
+        int cores = 1;
+        double memoryMb;
+        boolean listed;
+        Phase phase;
+        long startedNs;
+        final ArrayDeque<ColdSend> coldSends = new ArrayDeque<>();
+        final List<Query> running = new ArrayList<>();
+        int threads;
+        double workMs;
+        double seed;
+        double bound;
+        double lastStep;
+        long periodStartNs;
+        int completions;
+        double responseSumNs;
+        double lastThroughput;
+        double lastResponseNs;
+        boolean periodHeld;
+        boolean periodFull;
+        double slowLog;                  // mean log of response time over the usual
+        long fullNs = Long.MIN_VALUE / 2;
+        Report report = Report.NONE;
+        long reportNs = Long.MIN_VALUE / 2;
+        long heardNs = Long.MIN_VALUE / 2;
+        long probedNs = Long.MIN_VALUE / 2;
+        int missedProbes;
+        long avoidNs;
+        long avoidUntilNs = Long.MIN_VALUE;
+
+        Engine(String name) {
+            this.name = name;
+        }
+    }
+
+    private final Settings settings;
+    private final Limits limits;
+    private final Allowed allowed;
+    private final SplittableRandom random;
+    private final Map<String, ClassState> classes = new LinkedHashMap<>();
+    private final Map<String, Engine> engines = new LinkedHashMap<>();
+    private final Map<Long, Query> queries = new LinkedHashMap<>();
+    private final Map<String, KeyLine> keys = new HashMap<>();
+    private final TreeSet<Query> held = new TreeSet<>(Rules::releaseOrder);
+    private final ArrayDeque<Long> taken = new ArrayDeque<>();
+    private final ArrayDeque<Long> resent = new ArrayDeque<>();
+    private List<Action> out = new ArrayList<>();
+    private boolean ticking;
+    private long sequence;
+    private long now;
+
+    /** Starts a gateway that knows nothing but its settings. */
+    public Rules(Settings settings) {
+        this.settings = settings;
+        this.limits = settings.limits();
+        this.allowed = settings.allowed();
+        this.random = new SplittableRandom(settings.seed());
+        for (QueryClass c : settings.classes()) {
+            classes.put(c.name(), new ClassState(c));
+        }
+    }
+
+    @Override
+    public List<Action> on(Event event, long nowNs) {
+        out = new ArrayList<>();
+        now = nowNs;
+        if (!ticking) {
+            ticking = true;
+            if (allowed.listMustBeAsked()) {
+                out.add(new Subscribe());
+            }
+            out.add(new SetAlarm(TICK_LABEL, now + TICK_NS));
+        }
+        if (event instanceof Request r) {
+            take(r);
+        } else if (event instanceof Ended e) {
+            ended(e);
+        } else if (event instanceof Progress p) {
+            progress(p);
+        } else if (event instanceof Probed p) {
+            probed(p);
+        } else if (event instanceof ClientGone g) {
+            clientGone(g);
+        } else if (event instanceof ListNews news) {
+            listNews(news);
+        } else if (event instanceof Alarm a && a.label() == TICK_LABEL) {
+            tick();
+        }
+        return out;
+    }
+
+    // ---- A query is taken and held -----------------------------------------------------------------------------
+    private void take(Request r) {
+        ClassState cls = classes.get(r.queryClass());
+        if (cls == null || queries.containsKey(r.id())) {
+            out.add(new Refuse(r.id(), 0)); // a class that the settings don't know can go nowhere
+            return;
+        }
+        if (limits.budgetSpanNs() > 0) {
+            taken.add(now);
+        }
+        double estimate = r.workNs() > 0 ? r.workNs() / (double) MS : cls.meanMs;
+        if (r.workNs() > 0) {
+            cls.meanMs = cls.seen ? cls.meanMs + 0.02 * (estimate - cls.meanMs) : estimate;
+            cls.seen = true;
+        }
+        KeyLine line = cls.spec.inOrder() && r.key() != null
+                ? keys.computeIfAbsent(r.key(), k -> new KeyLine()) : null;
+        Query q = new Query(r, cls, line, estimate, now);
+        q.seq = sequence++;
+        queries.put(q.id, q);
+        if (line != null) {
+            line.waiting.add(q);
+        }
+        hold(q);
+        release();
+    }
+
+    private void hold(Query q) {
+        q.held = true;
+        held.add(q);
+    }
+
+    private void unhold(Query q) {
+        if (q.held) {
+            held.remove(q);
+            q.held = false;
+        }
+    }
+
+    /** Highest worth first; among equals the one taken first. */
+    private static int releaseOrder(Query a, Query b) {
+        int byWorth = Double.compare(b.worth, a.worth);
+        return byWorth != 0 ? byWorth : Long.compare(a.seq, b.seq);
+    }
+
+    /** Releases held queries in order; a class that found no room is not tried further in this round. */
+    private void release() {
+        List<ClassState> full = new ArrayList<>();
+        for (Query q : List.copyOf(held)) {
+            if (full.contains(q.cls) || !hasTurn(q)) {
+                continue;
+            }
+            Engine e = choose(q);
+            if (e == null) {
+                full.add(q.cls);
+            } else {
+                unhold(q);
+                send(q, e);
+            }
+        }
+    }
+
+    // ---- The choice of engine ----------------------------------------------------------------------------------
+    /** The lighter of two random engines that the rules, their health and their bounds leave open, or null. */
+    private Engine choose(Query q) {
+        List<Engine> open = new ArrayList<>();
+        List<Engine> healthy = new ArrayList<>();
+        for (Engine e : engines.values()) {
+            if (maySend(q, e)) {
+                open.add(e);
+                if (!shunned(e)) {
+                    healthy.add(e);
+                }
+            }
+        }
+        // Guards against a shared cause: where most engines look bad, none of them is shunned.
+        List<Engine> candidates = healthy.size() * 2 >= open.size() ? healthy : open;
+        candidates.removeIf(e -> !hasRoom(e));
+        int n = candidates.size();
+        if (n == 0) {
+            return null;
+        }
+        Engine first = candidates.remove(random.nextInt(n));
+        if (n == 1) {
+            return first;
+        }
+        Engine second = candidates.get(random.nextInt(n - 1));
+        return load(second, q) < load(first, q) ? second : first;
+    }
+
+    /** Estimated work of ours that runs there, with this query, by core. */
+    private double load(Engine e, Query q) {
+        return (e.workMs + q.workMs) / e.cores;
+    }
+
+    /** The bound on threads binds only under pressure, and never an engine that runs none of ours. */
+    private boolean hasRoom(Engine e) {
+        boolean room = e.running.isEmpty() || !pressed(e) || e.threads < e.bound;
+        if (!room) {
+            e.periodHeld = true;
+        }
+        return room;
+    }
+
+    /** Pressure: response times far above the usual, a report that says busy, or a refusal just now. */
+    private boolean pressed(Engine e) {
+        boolean news = now - e.reportNs < FRESH_NS;
+        boolean busy = news && (e.report.waiting() >= 1 || e.report.coresBusy() >= BUSY_CORES
+                || e.report.memoryGranted() >= BUSY_MEMORY);
+        return busy || full(e) || e.slowLog > PRESSED_LOG;
+    }
+
+    private boolean full(Engine e) {
+        return now - e.fullNs < FRESH_NS;
+    }
+
+    // ---- The one send path: the rules are kept here ------------------------------------------------------------
+    private boolean maySend(Query q, Engine e) {
+        return e.listed && e.phase == Phase.READY
+                && (q.cls.spec.kinds().isEmpty() || q.cls.spec.kinds().contains(e.kind))
+                && (q.cls.spec.zones().isEmpty() || q.cls.spec.zones().contains(e.zone))
+                && !q.over && q.out == null && q.attempts < allowed.attempts()
+                && hasTurn(q) && effectAllows(q, e) && withinColdBudget(q, e) && withinResendBudget(q);
+    }
+
+    private boolean hasTurn(Query q) {
+        return q.line == null || (q.line.waiting.peek() == q && (q.attempts > 0 || now >= q.line.restUntilNs));
+    }
+
+    /** An unsafe query that may have run is never sent again; a deduplicated one only where repeats are dropped. */
+    private boolean effectAllows(Query q, Engine e) {
+        if (q.mayHaveRunOn == null || q.cls.spec.effect() == Effect.IDEMPOTENT) {
+            return true;
+        }
+        boolean group = switch (q.cls.spec.repeatGroup()) {
+            case ALL -> true;
+            case ZONE -> e.zone.equals(q.mayHaveRunOn.zone);
+            case CELL -> e.cell == q.mayHaveRunOn.cell;
+        };
+        return q.cls.spec.effect() == Effect.DEDUPLICATED && group
+                && now - q.mayHaveRunNs < q.cls.spec.repeatSpanNs() - TICK_NS;
+    }
+
+    /** Guards a cold engine: all that we send it in a window stays under our share of what it bears. */
+    private boolean withinColdBudget(Query q, Engine e) {
+        if (!cold(e)) {
+            return true;
+        }
+        while (!e.coldSends.isEmpty() && e.coldSends.peek().atNs() <= now - limits.coldWindowNs()) {
+            e.coldSends.poll();
+        }
+        double sum = q.cls.usualMs();
+        for (ColdSend s : e.coldSends) {
+            sum += s.workMs();
+        }
+        double bears = limits.coldMultiple() * limits.coldFrom() * e.cores * CAPACITY
+                * limits.coldWindowNs() / MS;
+        return sum <= COLD_MARGIN * bears / settings.gateways();
+    }
+
+    private boolean cold(Engine e) {
+        return e.startedNs > 0 && limits.coldMultiple() > 0 && now < e.startedNs + limits.coldNs();
+    }
+
+    private boolean withinResendBudget(Query q) {
+        if (limits.budgetSpanNs() <= 0 || q.attempts == 0) {
+            return true;
+        }
+        long from = now - limits.budgetSpanNs();
+        while (!taken.isEmpty() && taken.peek() <= from) {
+            taken.poll();
+        }
+        while (!resent.isEmpty() && resent.peek() < from) {
+            resent.poll();
+        }
+        return resent.size() + 1 <= limits.freeResends() + limits.resendsPerRequest() * taken.size();
+    }
+
+    private void send(Query q, Engine e) {
+        if (limits.budgetSpanNs() > 0 && q.attempts > 0) {
+            resent.add(now);
+        }
+        if (cold(e)) {
+            e.coldSends.add(new ColdSend(now, q.cls.usualMs()));
+        }
+        if (e.running.isEmpty() && e.completions == 0) {
+            e.periodStartNs = now;
+        }
+        q.grantMb = allowed.grants() && q.memoryMb > 0 ? grant(q, e) : 0;
+        if (allowed.grants() || allowed.priorities()) {
+            out.add(new Terms(q.id, priority(q), q.grantMb));
+        }
+        q.out = e;
+        q.sentNs = now;
+        q.attempts++;
+        q.cancelled = false;
+        e.running.add(q);
+        e.threads += q.cls.spec.threads();
+        e.workMs += q.workMs;
+        out.add(new Send(q.id, e.name, Math.max(MS, q.deadlineNs - now - CUT_NS)));
+    }
+
+    private long grant(Query q, Engine e) {
+        double most = e.memoryMb > 0 ? allowed.largestGrant() * e.memoryMb : Double.MAX_VALUE;
+        return Math.max(1, Math.round(Math.min(most, q.memoryMb * q.cls.memoryBias * GRANT_MARGIN)));
+    }
+
+    /** Classes that earn most for their work go first where cores are short; what is late goes last. */
+    private int priority(Query q) {
+        if (!allowed.priorities()) {
+            return 1;
+        }
+        if (now >= q.aimNs()) {
+            return 0;
+        }
+        double mine = q.cls.spec.worth() / q.cls.usualMs();
+        boolean best = true;
+        for (ClassState c : classes.values()) {
+            best &= c.spec.worth() / c.usualMs() <= mine;
+        }
+        return best ? 3 : 1;
+    }
+
+    // ---- A running query is watched -----------------------------------------------------------------------------
+    private void progress(Progress p) {
+        Query q = queries.get(p.id());
+        Engine e = engines.get(p.engine());
+        if (e != null) {
+            heard(e);
+        }
+        if (q == null || q.out == null || q.out != e || p.attempt() != q.attempts - 1) {
+            return;
+        }
+        if (p.kind() == NoteKind.SPILLS_MB && q.memoryMb > 0 && q.grantMb > 0) {
+            double need = (q.grantMb + p.amount()) / q.memoryMb;
+            q.cls.memoryBias += GRANT_LEARN * Math.max(0, need - q.cls.memoryBias);
+        } else if (p.kind() == NoteKind.SHARE_DONE && p.amount() > 0) {
+            restartBadPlan(q, p.amount());
+        }
+    }
+
+    /** Guards against bad plans: what still lies ahead is far more than a fresh start would take. */
+    private void restartBadPlan(Query q, double share) {
+        long ran = now - q.sentNs;
+        double ahead = ran * (1 - share) / share;
+        double fresh = q.usualNs() * Math.exp(Math.max(0, q.out.slowLog));
+        boolean repeatable = q.cls.spec.effect() == Effect.IDEMPOTENT && q.attempts < allowed.attempts();
+        if (allowed.cancels() && repeatable && !q.cancelled && q.restarts < BAD_PLAN_RESTARTS
+                && ahead + ran > BAD_PLAN * fresh && ahead > 2 * fresh && now + fresh < q.deadlineNs) {
+            q.restarts++;
+            cancel(q);
+        }
+    }
+
+    private void cancel(Query q) {
+        q.cancelled = true;
+        out.add(new Cancel(q.id, q.attempts - 1));
+    }
+
+    // ---- An attempt ends ------------------------------------------------------------------------------------------
+    private void ended(Ended e) {
+        Query q = queries.get(e.id());
+        Engine engine = engines.get(e.engine());
+        if (engine != null) {
+            note(engine, e.report());
+            judge(engine, e.outcome());
+        }
+        if (q == null || q.out == null || e.attempt() != q.attempts - 1) {
+            return;
+        }
+        Engine ran = q.out;
+        ran.running.remove(q);
+        ran.threads -= q.cls.spec.threads();
+        ran.workMs = ran.running.isEmpty() ? 0 : ran.workMs - q.workMs;
+        q.out = null;
+        if (e.outcome() == Outcome.SERVED) {
+            learn(q, ran, e);
+        }
+        if (e.outcome().mayHaveRun() && q.mayHaveRunOn == null) {
+            q.mayHaveRunOn = ran;
+            q.mayHaveRunNs = q.sentNs;
+        }
+        boolean mayStillRun = switch (e.outcome()) {
+            case TIMED_OUT, RESET, CANCELLED -> true;
+            default -> false;
+        };
+        if (q.line != null && mayStillRun) {
+            q.line.restUntilNs = now + limits.keyRestNs();
+        }
+        q.over |= e.over();
+        if (!q.over) {
+            again(q);
+        } else {
+            forget(q);
+        }
+        closePeriodIfDue(ran);
+        release();
+    }
+
+    /** Another attempt where the rules allow one and time is left, else the final answer. */
+    private void again(Query q) {
+        boolean repeatable = q.mayHaveRunOn == null || q.cls.spec.effect() != Effect.AT_MOST_ONCE;
+        if (repeatable && q.attempts < allowed.attempts() && now + ANSWER_NS < q.deadlineNs) {
+            hold(q);
+        } else {
+            answer(q);
+        }
+    }
+
+    /** The one finish path: refuses where that is true and allowed, else fails; at once, with retry advice. */
+    private void answer(Query q) {
+        unhold(q);
+        q.over = true;
+        boolean harmless = q.out == null && (q.mayHaveRunOn == null || q.cls.spec.effect() == Effect.IDEMPOTENT
+                || q.cls.spec.effect() == Effect.DEDUPLICATED && q.cls.spec.repeatGroup() == RepeatGroup.ALL);
+        out.add(harmless ? new Refuse(q.id, allowed.longestRetryAfterNs()) : new Fail(q.id));
+        forget(q);
+    }
+
+    /** Drops a query that is over and has nothing out, and lets the next of its key go. */
+    private void forget(Query q) {
+        if (!q.over || q.out != null) {
+            return;
+        }
+        unhold(q);
+        queries.remove(q.id);
+        if (q.line != null) {
+            q.line.waiting.remove(q);
+        }
+    }
+
+    private void clientGone(ClientGone g) {
+        Query q = queries.get(g.id());
+        if (q == null) {
+            return;
+        }
+        q.over = true;
+        unhold(q);
+        if (q.out != null && allowed.cancels() && !q.cancelled && q.cls.spec.effect() == Effect.IDEMPOTENT) {
+            cancel(q); // the work would serve nobody
+        }
+        forget(q);
+        release();
+    }
+
+    // ---- Feedback: what answers teach, and the steps of the bound ---------------------------------------------
+    private void learn(Query q, Engine e, Ended end) {
+        double stretch = Math.log(Math.max(1e-3,
+                end.tookNs() / (double) MS * q.cls.spec.threads() / Math.max(1e-3, q.estimateMs)));
+        q.cls.usualLog += USUAL_STEP * (stretch < q.cls.usualLog ? USUAL_QUANTILE - 1 : USUAL_QUANTILE);
+        e.slowLog += MEAN_WEIGHT * (stretch - q.cls.usualLog - e.slowLog);
+        e.completions++;
+        e.responseSumNs += end.tookNs();
+        if (q.memoryMb > 0) {
+            double need = end.memoryMb() > 0 ? end.memoryMb() / q.memoryMb : q.cls.memoryBias * 0.99;
+            q.cls.memoryBias += GRANT_LEARN * (need - q.cls.memoryBias);
+        }
+    }
+
+    private void closePeriodIfDue(Engine e) {
+        long length = now - e.periodStartNs;
+        if (e.completions < PERIOD_COMPLETIONS && !(e.periodHeld && length >= PERIOD_NS)) {
+            return;
+        }
+        double throughput = e.completions / (double) Math.max(1, length);
+        double response = e.completions > 0 ? e.responseSumNs / e.completions : e.lastResponseNs;
+        step(e, throughput, response);
+        e.lastThroughput = throughput;
+        e.lastResponseNs = response;
+        e.completions = 0;
+        e.responseSumNs = 0;
+        e.periodStartNs = now;
+        e.periodHeld = false;
+        e.periodFull = false;
+    }
+
+    /** While queries are held: a step up stays only if throughput gained; else the bound drifts down. */
+    private void step(Engine e, double throughput, double response) {
+        double size = Math.max(1, STEP_SHARE * e.seed);
+        boolean outwait = heldOutwaitAims();
+        boolean slower = e.lastResponseNs > 0 && response > e.lastResponseNs * (1 + THRESHOLD);
+        boolean atSeed = e.bound - size < e.seed && !outwait && !e.periodFull;
+        boolean mayFall = !outwait && !slower && !atSeed;
+        if (e.periodHeld) {
+            boolean gained = throughput >= e.lastThroughput * (1 + THRESHOLD);
+            if (e.lastStep > 0 && !gained) {
+                move(e, mayFall ? -size : 0);
+            } else {
+                move(e, size);
+            }
+        } else {
+            boolean lost = throughput < e.lastThroughput * (1 - THRESHOLD);
+            move(e, lost && e.lastStep < 0 ? size : mayFall ? -size : 0);
+        }
+    }
+
+    private void move(Engine e, double by) {
+        e.bound = Math.max(1, e.bound + by);
+        e.lastStep = by;
+    }
+
+    private boolean heldOutwaitAims() {
+        for (Query q : held) {
+            if (now >= q.aimNs()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    // ---- What is believed of the engines ----------------------------------------------------------------------
+    private void note(Engine e, Report r) {
+        if (!r.equals(Report.NONE)) {
+            e.report = r;
+            e.reportNs = now;
+        }
+    }
+
+    private void heard(Engine e) {
+        e.heardNs = now;
+        e.missedProbes = 0;
+    }
+
+    private void judge(Engine e, Outcome outcome) {
+        switch (outcome) {
+            case SERVED, ERROR -> {
+                heard(e);
+                e.avoidNs = 0;
+            }
+            case TURNED_AWAY -> {
+                heard(e);
+                e.fullNs = now;
+                e.periodFull = true;
+            }
+            case NO_CONNECTION, RESET -> {
+                e.avoidNs = Math.min(AVOID_MOST_NS, Math.max(AVOID_NS, 2 * e.avoidNs));
+                e.avoidUntilNs = now + e.avoidNs;
+            }
+            default -> { }
+        }
+    }
+
+    private void probed(Probed p) {
+        Engine e = engines.get(p.engine());
+        if (e == null) {
+            return;
+        }
+        note(e, p.report());
+        if (p.outcome() == Outcome.SERVED) {
+            heard(e);
+        } else {
+            e.missedProbes++;
+        }
+    }
+
+    /** Guards against engines that are down, cut off or silent, whatever the list says of them. */
+    private boolean shunned(Engine e) {
+        return now < e.avoidUntilNs || silent(e);
+    }
+
+    private boolean silent(Engine e) {
+        return e.missedProbes >= MISSED_PROBES && now - e.heardNs > SILENT_NS;
+    }
+
+    private void listNews(ListNews news) {
+        if (news.form() == ListForm.REFUSED) {
+            out.add(new Subscribe());
+            return;
+        }
+        if (news.form() != ListForm.CHANGES) {
+            for (Engine e : engines.values()) {
+                e.listed = false;
+            }
+        }
+        for (ListEntry entry : news.entries()) {
+            listed(entry);
+        }
+        release();
+    }
+
+    private void listed(ListEntry entry) {
+        Engine e = engines.computeIfAbsent(entry.engine(), Engine::new);
+        boolean restarted = e.kind == null || entry.startedNs() > e.startedNs;
+        e.listed = entry.phase() != Phase.GONE;
+        e.phase = entry.phase();
+        e.zone = entry.zone();
+        e.cell = entry.cell();
+        e.kind = entry.kind();
+        e.startedNs = entry.startedNs();
+        for (EngineKind k : settings.kinds()) {
+            if (k.name().equals(e.kind)) {
+                e.cores = k.cores();
+                e.memoryMb = k.memoryMb();
+            }
+        }
+        if (restarted) {
+            e.seed = Math.max(1, SEED_THREADS * e.cores / settings.gateways());
+            e.bound = e.seed;
+            e.slowLog = 0;
+            e.avoidUntilNs = Long.MIN_VALUE;
+            e.avoidNs = 0;
+            e.missedProbes = 0;
+        }
+    }
+
+    // ---- House-keeping --------------------------------------------------------------------------------------------
+    private void tick() {
+        out.add(new SetAlarm(TICK_LABEL, now + TICK_NS));
+        for (Query q : List.copyOf(held)) {
+            if (now + ANSWER_NS >= q.deadlineNs) {
+                answer(q);
+            } else if (q.worth == q.cls.spec.worth() && now >= q.aimNs()) {
+                unhold(q);
+                q.worth = q.cls.spec.worth() * q.cls.spec.lateShare();
+                hold(q);
+            }
+        }
+        for (Engine e : engines.values()) {
+            if (!e.listed) {
+                continue;
+            }
+            if (allowed.probes() && now - e.probedNs >= PROBE_NS) {
+                e.probedNs = now;
+                out.add(new Probe(e.name));
+            }
+            closePeriodIfDue(e);
+            if (silent(e)) {
+                leave(e);
+            }
+        }
+        release();
+    }
+
+    /** Takes repeatable queries away from a silent engine, where a cancel frees them. */
+    private void leave(Engine e) {
+        if (!allowed.cancels()) {
+            return;
+        }
+        for (Query q : e.running) {
+            boolean repeatable = q.cls.spec.effect() == Effect.IDEMPOTENT && q.attempts < allowed.attempts();
+            if (repeatable && !q.over && !q.cancelled) {
+                cancel(q);
+            }
+        }
+    }
+}
