--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -257,6 +257,7 @@
         }
         hold(q);
         release();
+        answerIfDue(q);
     }
 
     private void hold(Query q) {
@@ -541,6 +542,13 @@
         }
     }
 
+    /** Guards against answers after the client's time, also for a query whose time is short on arrival. */
+    private void answerIfDue(Query q) {
+        if (q.held && now + ANSWER_NS >= q.deadlineNs) {
+            answer(q);
+        }
+    }
+
     /** The one finish path: refuses where that is true and allowed, else fails; at once, with retry advice. */
     private void answer(Query q) {
         unhold(q);
@@ -741,9 +749,8 @@
     private void tick() {
         out.add(new SetAlarm(TICK_LABEL, now + TICK_NS));
         for (Query q : List.copyOf(held)) {
-            if (now + ANSWER_NS >= q.deadlineNs) {
-                answer(q);
-            } else if (q.worth == q.cls.spec.worth() && now >= q.aimNs()) {
+            answerIfDue(q);
+            if (q.held && q.worth == q.cls.spec.worth() && now >= q.aimNs()) {
                 unhold(q);
                 q.worth = q.cls.spec.worth() * q.cls.spec.lateShare();
                 hold(q);
