--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -36,6 +36,13 @@
     private static final double BUSY_MEMORY = 0.95;
     /** Nanoseconds for which a refusal by an engine counts as full, and a report as news. */
     private static final long FRESH_NS = 2_000 * MS;
+    /** Nanoseconds for which an engine that refused gets nothing more: a resend at once is refused again. */
+    private static final long FULL_PAUSE_NS = 200 * MS;
+    /** Times its usual time after which a running query is slow, and the share of slow ones that is pressure. */
+    private static final double SLOW_TIMES = 3;
+    private static final double SLOW_SHARE = 0.4;
+    /** Share of the time already run for which a given-up attempt that nothing stops is counted further. */
+    private static final double GHOST_SHARE = 0.5;
     /** Weight of a new response time in an engine's mean: about the last ten queries. */
     private static final double MEAN_WEIGHT = 0.1;
     /** Quantile of a class's response times taken as its usual one, and the step of its tracker in logs. */
@@ -63,7 +70,9 @@
     private static final int BAD_PLAN_RESTARTS = 2;
     /** Memory granted over the estimate, and how fast the learnt correction follows. */
     private static final double GRANT_MARGIN = 1.1;
-    private static final double GRANT_LEARN = 0.1;
+    private static final double GRANT_LEARN = 0.02;
+    private static final double GRANT_QUANTILE = 0.6;
+    private static final double GRANT_MOST = 2;
     /** Work in milliseconds assumed where nothing is told or learnt yet. */
     private static final double UNKNOWN_WORK_MS = 100;
     private static final long TICK_LABEL = 1;
@@ -104,6 +113,7 @@
         long sentNs;
         long grantMb;
         boolean cancelled;
+        boolean spilled;
         int restarts;
         Engine mayHaveRunOn;
         long mayHaveRunNs;
@@ -137,6 +147,8 @@
 
     private record ColdSend(long atNs, double workMs) { }
 
+    private record Ghost(long untilNs, int threads, double workMs) { }
+
     private static final class Engine {
         final String name;
         String zone;
@@ -149,6 +161,7 @@
         long startedNs;
         final ArrayDeque<ColdSend> coldSends = new ArrayDeque<>();
         final List<Query> running = new ArrayList<>();
+        final ArrayDeque<Ghost> ghosts = new ArrayDeque<>();
         int threads;
         double workMs;
         double seed;
@@ -330,7 +343,8 @@
 
     /** The bound on threads binds only under pressure, and never an engine that runs none of ours. */
     private boolean hasRoom(Engine e) {
-        boolean room = e.running.isEmpty() || !pressed(e) || e.threads < e.bound;
+        boolean idle = e.running.isEmpty() && e.ghosts.isEmpty();
+        boolean room = now - e.fullNs >= FULL_PAUSE_NS && (idle || !pressed(e) || e.threads < e.bound);
         if (!room) {
             e.periodHeld = true;
         }
@@ -342,7 +356,16 @@
         boolean news = now - e.reportNs < FRESH_NS;
         boolean busy = news && (e.report.waiting() >= 1 || e.report.coresBusy() >= BUSY_CORES
                 || e.report.memoryGranted() >= BUSY_MEMORY);
-        return busy || full(e) || e.slowLog > PRESSED_LOG;
+        return busy || full(e) || e.slowLog > PRESSED_LOG || slowRunning(e);
+    }
+
+    /** Guards against learning of a jam only from what comes out of it: many of ours already run for long. */
+    private boolean slowRunning(Engine e) {
+        int slow = 0;
+        for (Query q : e.running) {
+            slow += now - q.sentNs > SLOW_TIMES * q.usualNs() ? 1 : 0;
+        }
+        return slow > SLOW_SHARE * e.running.size();
     }
 
     private boolean full(Engine e) {
@@ -429,6 +452,7 @@
         q.sentNs = now;
         q.attempts++;
         q.cancelled = false;
+        q.spilled = false;
         e.running.add(q);
         e.threads += q.cls.spec.threads();
         e.workMs += q.workMs;
@@ -466,9 +490,8 @@
         if (q == null || q.out == null || q.out != e || p.attempt() != q.attempts - 1) {
             return;
         }
-        if (p.kind() == NoteKind.SPILLS_MB && q.memoryMb > 0 && q.grantMb > 0) {
-            double need = (q.grantMb + p.amount()) / q.memoryMb;
-            q.cls.memoryBias += GRANT_LEARN * Math.max(0, need - q.cls.memoryBias);
+        if (p.kind() == NoteKind.SPILLS_MB) {
+            q.spilled = true;
         } else if (p.kind() == NoteKind.SHARE_DONE && p.amount() > 0) {
             restartBadPlan(q, p.amount());
         }
@@ -506,7 +529,7 @@
         Engine ran = q.out;
         ran.running.remove(q);
         ran.threads -= q.cls.spec.threads();
-        ran.workMs = ran.running.isEmpty() ? 0 : ran.workMs - q.workMs;
+        ran.workMs -= q.workMs;
         q.out = null;
         if (e.outcome() == Outcome.SERVED) {
             learn(q, ran, e);
@@ -522,6 +545,9 @@
         if (q.line != null && mayStillRun) {
             q.line.restUntilNs = now + limits.keyRestNs();
         }
+        if (mayStillRun && !allowed.cancels()) {
+            haunt(ran, q);
+        }
         q.over |= e.over();
         if (!q.over) {
             again(q);
@@ -532,6 +558,25 @@
         release();
     }
 
+    /** Guards against an engine that looks idle while it still works on what was given up there. */
+    private void haunt(Engine e, Query q) {
+        Ghost g = new Ghost(now + (long) (GHOST_SHARE * (now - q.sentNs)), q.cls.spec.threads(), q.workMs);
+        e.ghosts.add(g);
+        e.threads += g.threads();
+        e.workMs += g.workMs();
+    }
+
+    private void layGhosts(Engine e) {
+        e.ghosts.removeIf(g -> {
+            boolean laid = now >= g.untilNs();
+            if (laid) {
+                e.threads -= g.threads();
+                e.workMs -= g.workMs();
+            }
+            return laid;
+        });
+    }
+
     /** Another attempt where the rules allow one and time is left, else the final answer. */
     private void again(Query q) {
         boolean repeatable = q.mayHaveRunOn == null || q.cls.spec.effect() != Effect.AT_MOST_ONCE;
@@ -589,16 +634,25 @@
     private void learn(Query q, Engine e, Ended end) {
         double stretch = Math.log(Math.max(1e-3,
                 end.tookNs() / (double) MS * q.cls.spec.threads() / Math.max(1e-3, q.estimateMs)));
-        q.cls.usualLog += USUAL_STEP * (stretch < q.cls.usualLog ? USUAL_QUANTILE - 1 : USUAL_QUANTILE);
+        if (stretch < q.cls.usualLog) {
+            q.cls.usualLog -= USUAL_STEP * (1 - USUAL_QUANTILE);
+        } else if (!pressed(e)) { // a jam must not become the usual
+            q.cls.usualLog += USUAL_STEP * USUAL_QUANTILE;
+        }
         e.slowLog += MEAN_WEIGHT * (stretch - q.cls.usualLog - e.slowLog);
         e.completions++;
         e.responseSumNs += end.tookNs();
-        if (q.memoryMb > 0) {
-            double need = end.memoryMb() > 0 ? end.memoryMb() / q.memoryMb : q.cls.memoryBias * 0.99;
-            q.cls.memoryBias += GRANT_LEARN * (need - q.cls.memoryBias);
+        if (q.memoryMb > 0 && q.grantMb > 0) {
+            learnGrant(q, q.spilled || end.memoryMb() > q.grantMb);
         }
     }
 
+    /** Moves the correction so that a set share of the class's queries fits: estimates lie by class. */
+    private void learnGrant(Query q, boolean tooSmall) {
+        double by = GRANT_LEARN * (tooSmall ? GRANT_QUANTILE : GRANT_QUANTILE - 1);
+        q.cls.memoryBias = Math.min(GRANT_MOST, Math.max(1 / GRANT_MOST, q.cls.memoryBias + by));
+    }
+
     private void closePeriodIfDue(Engine e) {
         long length = now - e.periodStartNs;
         if (e.completions < PERIOD_COMPLETIONS && !(e.periodHeld && length >= PERIOD_NS)) {
@@ -756,6 +810,12 @@
                 hold(q);
             }
         }
+        if (now / (3000 * MS) != (now - TICK_NS) / (3000 * MS) && settings.position() == 0) {
+            StringBuilder b = new StringBuilder("t=" + now / MS + " held=" + held.size());
+            for (ClassState c : classes.values()) b.append(String.format(" %s:u=%.2f,m=%.0f,mb=%.2f", c.spec.name(), c.usualLog, c.meanMs, c.memoryBias));
+            for (Engine e : engines.values()) b.append(String.format(" | r%d t%d/%.1f s%.2f %s q%.0f c%.2f m%.2f", e.running.size(), e.threads, e.bound, e.slowLog, pressed(e) ? "P" : "-", e.report.waiting(), e.report.coresBusy(), e.report.memoryGranted()));
+            out.add(new Log(b.toString()));
+        }
         for (Engine e : engines.values()) {
             if (!e.listed) {
                 continue;
@@ -764,6 +824,7 @@
                 e.probedNs = now;
                 out.add(new Probe(e.name));
             }
+            layGhosts(e);
             closePeriodIfDue(e);
             if (silent(e)) {
                 leave(e);
