--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -3,12 +3,16 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * The decisions of one gateway, in the order in which a query meets them: taken, held, released to the lighter of
@@ -34,6 +38,11 @@
     /** Share of busy cores, and of granted memory, from which a report says busy. */
     private static final double BUSY_CORES = 0.95;
     private static final double BUSY_MEMORY = 0.95;
+    /** Shares up to which a report says quiet: no level of threads slows an engine that is used so little. */
+    private static final double QUIET_CORES = 0.6;
+    private static final double QUIET_MEMORY = 0.4;
+    /** Engines on which a group of tables is loaded: few, so that readers find others; two, for a hot group. */
+    private static final int LOAD_HOMES = 2;
     /** Nanoseconds for which a refusal by an engine counts as full, and a report as news. */
     private static final long FRESH_NS = 2_000 * MS;
     /** Nanoseconds for which an engine that refused gets nothing more: a resend at once is refused again. */
@@ -71,7 +80,7 @@
     /** Memory granted over the estimate, and how fast the learnt correction follows. */
     private static final double GRANT_MARGIN = 1.1;
     private static final double GRANT_LEARN = 0.02;
-    private static final double GRANT_QUANTILE = 0.6;
+    private static final double GRANT_QUANTILE = 0.88;
     private static final double GRANT_MOST = 2;
     /** Work in milliseconds assumed where nothing is told or learnt yet. */
     private static final double UNKNOWN_WORK_MS = 100;
@@ -201,6 +210,8 @@
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
     private final ArrayDeque<Long> resent = new ArrayDeque<>();
     private List<Action> out = new ArrayList<>();
+    private final Set<String> boundKinds = new HashSet<>();
+    private boolean loads;
     private boolean ticking;
     private long sequence;
     private long now;
@@ -213,6 +224,8 @@
         this.random = new SplittableRandom(settings.seed());
         for (QueryClass c : settings.classes()) {
             classes.put(c.name(), new ClassState(c));
+            boundKinds.addAll(c.kinds());
+            loads |= c.holdsTables();
         }
     }
 
@@ -324,6 +337,7 @@
         // Guards against a shared cause: where most engines look bad, none of them is shunned.
         List<Engine> candidates = healthy.size() * 2 >= open.size() ? healthy : open;
         candidates.removeIf(e -> !hasRoom(e));
+        prefer(q, candidates);
         int n = candidates.size();
         if (n == 0) {
             return null;
@@ -336,6 +350,49 @@
         return load(second, q) < load(first, q) ? second : first;
     }
 
+    /** Narrows the candidates to those that keep queries out of each other's way, where any of them is left. */
+    private void prefer(Query q, List<Engine> candidates) {
+        if (false) {
+            narrow(candidates, e -> !reserved(e));
+        }
+        if (false && loads && (q.cls.spec.holdsTables() || q.cls.spec.waitsForTables())) {
+            List<Engine> homes = homes(q.tables);
+            narrow(candidates, e -> homes.contains(e) == q.cls.spec.holdsTables());
+        }
+    }
+
+    private static void narrow(List<Engine> candidates, Predicate<Engine> wanted) {
+        if (candidates.stream().anyMatch(wanted)) {
+            candidates.removeIf(wanted.negate());
+        }
+    }
+
+    /** Engines of a kind that a bound class needs are left to it by the classes that may go anywhere. */
+    private boolean reserved(Engine e) {
+        return boundKinds.contains(e.kind);
+    }
+
+    /**
+     * Guards readers against standing still behind loads of their tables: all gateways hash a group to the same
+     * few engines, load it there and read it elsewhere, without a word between them.
+     */
+    private List<Engine> homes(long tables) {
+        List<Engine> ready = new ArrayList<>();
+        for (Engine e : engines.values()) {
+            if (e.listed && e.phase == Phase.READY) {
+                ready.add(e);
+            }
+        }
+        narrow(ready, e -> !reserved(e));
+        ready.sort(Comparator.comparingLong((Engine e) -> mix(e.name.hashCode() * 31L + tables))
+                .thenComparing(e -> e.name));
+        return ready.subList(0, Math.min(LOAD_HOMES, ready.size()));
+    }
+
+    private static long mix(long x) {
+        return new SplittableRandom(x).nextLong();
+    }
+
     /** Estimated work of ours that runs there, with this query, by core. */
     private double load(Engine e, Query q) {
         return (e.workMs + q.workMs) / e.cores;
@@ -356,7 +413,9 @@
         boolean news = now - e.reportNs < FRESH_NS;
         boolean busy = news && (e.report.waiting() >= 1 || e.report.coresBusy() >= BUSY_CORES
                 || e.report.memoryGranted() >= BUSY_MEMORY);
-        return busy || full(e) || e.slowLog > PRESSED_LOG || slowRunning(e);
+        // Guards against taking a stall behind a load for a high level: a quiet report overrules slowness.
+        boolean quiet = news && (e.report.coresBusy() < QUIET_CORES);
+        return busy || full(e) || !quiet && (e.slowLog > PRESSED_LOG || slowRunning(e));
     }
 
     /** Guards against learning of a jam only from what comes out of it: many of ours already run for long. */
