Loads of a group run on one hashed half of the engines, readers of it on the other

Cause: readers stand still behind loads of their tables that other gateways sent. All gateways hash a group to the same half, so nothing needs to be told.

--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -5,11 +5,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.function.Predicate;
@@ -41,8 +39,8 @@
     /** Shares up to which a report says quiet: no level of threads slows an engine that is used so little. */
     private static final double QUIET_CORES = 0.6;
     private static final double QUIET_MEMORY = 0.4;
-    /** Engines on which a group of tables is loaded: few, so that readers find others; two, for a hot group. */
-    private static final int LOAD_HOMES = 2;
+    /** Share of the engines on which a group of tables is loaded: readers get the other half. */
+    private static final double LOAD_HOMES = 0.5;
     /** Nanoseconds for which a refusal by an engine counts as full, and a report as news. */
     private static final long FRESH_NS = 2_000 * MS;
     /** Nanoseconds for which an engine that refused gets nothing more: a resend at once is refused again. */
@@ -210,8 +208,8 @@
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
     private final ArrayDeque<Long> resent = new ArrayDeque<>();
     private List<Action> out = new ArrayList<>();
-    private final Set<String> boundKinds = new HashSet<>();
     private boolean loads;
+    private boolean readersWait;
     private boolean ticking;
     private long sequence;
     private long now;
@@ -224,8 +222,8 @@
         this.random = new SplittableRandom(settings.seed());
         for (QueryClass c : settings.classes()) {
             classes.put(c.name(), new ClassState(c));
-            boundKinds.addAll(c.kinds());
             loads |= c.holdsTables();
+            readersWait |= c.waitsForTables();
         }
     }
 
@@ -352,10 +350,7 @@
 
     /** Narrows the candidates to those that keep queries out of each other's way, where any of them is left. */
     private void prefer(Query q, List<Engine> candidates) {
-        if (false) {
-            narrow(candidates, e -> !reserved(e));
-        }
-        if (false && loads && (q.cls.spec.holdsTables() || q.cls.spec.waitsForTables())) {
+        if (loads && readersWait && (q.cls.spec.holdsTables() || q.cls.spec.waitsForTables())) {
             List<Engine> homes = homes(q.tables);
             narrow(candidates, e -> homes.contains(e) == q.cls.spec.holdsTables());
         }
@@ -367,11 +362,6 @@
         }
     }
 
-    /** Engines of a kind that a bound class needs are left to it by the classes that may go anywhere. */
-    private boolean reserved(Engine e) {
-        return boundKinds.contains(e.kind);
-    }
-
     /**
      * Guards readers against standing still behind loads of their tables: all gateways hash a group to the same
      * few engines, load it there and read it elsewhere, without a word between them.
@@ -383,10 +373,9 @@
                 ready.add(e);
             }
         }
-        narrow(ready, e -> !reserved(e));
         ready.sort(Comparator.comparingLong((Engine e) -> mix(e.name.hashCode() * 31L + tables))
                 .thenComparing(e -> e.name));
-        return ready.subList(0, Math.min(LOAD_HOMES, ready.size()));
+        return ready.subList(0, (int) Math.ceil(LOAD_HOMES * ready.size()));
     }
 
     private static long mix(long x) {
