--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -43,6 +43,8 @@
     private static final double LOAD_HOMES = 0.5;
     /** Nanoseconds for which a refusal by an engine counts as full, and a report as news. */
     private static final long FRESH_NS = 2_000 * MS;
+    /** Times its bound up to which an engine without pressure is filled: news of pressure comes late. */
+    private static final double FLOOD = 2;
     /** Nanoseconds for which an engine that refused gets nothing more: a resend at once is refused again. */
     private static final long FULL_PAUSE_NS = 200 * MS;
     /** Times its usual time after which a running query is slow, and the share of slow ones that is pressure. */
@@ -387,10 +389,14 @@
         return (e.workMs + q.workMs) / e.cores;
     }
 
-    /** The bound on threads binds only under pressure, and never an engine that runs none of ours. */
+    /**
+     * The bound on threads binds only under pressure, and never an engine that runs none of ours. Guards against
+     * floods: gateways that hold queries see the same dip and would all fill one engine before it can tell.
+     */
     private boolean hasRoom(Engine e) {
         boolean idle = e.running.isEmpty() && e.ghosts.isEmpty();
-        boolean room = now - e.fullNs >= FULL_PAUSE_NS && (idle || !pressed(e) || e.threads < e.bound);
+        boolean room = now - e.fullNs >= FULL_PAUSE_NS && (idle
+                || e.threads < (pressed(e) ? e.bound : FLOOD * e.bound));
         if (!room) {
             e.periodHeld = true;
         }
@@ -850,9 +856,13 @@
     // ---- House-keeping --------------------------------------------------------------------------------------------
     private void tick() {
         out.add(new SetAlarm(TICK_LABEL, now + TICK_NS));
+        boolean contended = contended();
         for (Query q : List.copyOf(held)) {
             answerIfDue(q);
-            if (q.held && q.worth == q.cls.spec.worth() && now >= q.aimNs()) {
+            boolean late = now + q.usualNs() >= q.aimNs();
+            if (q.held && late && (contended || q.cls.spec.lateShare() == 0)) {
+                answer(q); // given up for those that can still be in time
+            } else if (q.held && late && q.worth == q.cls.spec.worth()) {
                 unhold(q);
                 q.worth = q.cls.spec.worth() * q.cls.spec.lateShare();
                 hold(q);
@@ -881,6 +891,16 @@
         release();
     }
 
+    /** True while queries that can still be in time have waited for room. */
+    private boolean contended() {
+        for (Query q : held) {
+            if (now - q.takenNs > TICK_NS && now + q.usualNs() < q.aimNs() && hasTurn(q)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Takes repeatable queries away from a silent engine, where a cancel frees them. */
     private void leave(Engine e) {
         if (!allowed.cancels()) {
