--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -45,6 +45,9 @@
     private static final long FRESH_NS = 2_000 * MS;
     /** Times its bound up to which an engine without pressure is filled: news of pressure comes late. */
     private static final double FLOOD = 2;
+    /** Share of the longest class's work that makes a query brief, and its further room in seeds. */
+    private static final double BRIEF_SHARE = 0.2;
+    private static final double BRIEF_LANE = 1.0;
     /** Nanoseconds for which an engine that refused gets nothing more: a resend at once is refused again. */
     private static final long FULL_PAUSE_NS = 200 * MS;
     /** Times its usual time after which a running query is slow, and the share of slow ones that is pressure. */
@@ -336,7 +339,7 @@
         }
         // Guards against a shared cause: where most engines look bad, none of them is shunned.
         List<Engine> candidates = healthy.size() * 2 >= open.size() ? healthy : open;
-        candidates.removeIf(e -> !hasRoom(e));
+        candidates.removeIf(e -> !hasRoom(q, e));
         prefer(q, candidates);
         int n = candidates.size();
         if (n == 0) {
@@ -393,16 +396,28 @@
      * The bound on threads binds only under pressure, and never an engine that runs none of ours. Guards against
      * floods: gateways that hold queries see the same dip and would all fill one engine before it can tell.
      */
-    private boolean hasRoom(Engine e) {
+    private boolean hasRoom(Query q, Engine e) {
         boolean idle = e.running.isEmpty() && e.ghosts.isEmpty();
-        boolean room = now - e.fullNs >= FULL_PAUSE_NS && (idle
-                || e.threads < (pressed(e) ? e.bound : FLOOD * e.bound));
+        double limit = pressed(e) ? e.bound : Math.max(e.bound, FLOOD * e.seed);
+        if (brief(q)) {
+            limit += BRIEF_LANE * e.seed;
+        }
+        boolean room = now - e.fullNs >= FULL_PAUSE_NS && (idle || e.threads < limit);
         if (!room) {
             e.periodHeld = true;
         }
         return room;
     }
 
+    /** Guards brief queries against waiting for room behind long ones: the paper's case for a higher level. */
+    private boolean brief(Query q) {
+        double longest = 0;
+        for (ClassState c : classes.values()) {
+            longest = Math.max(longest, c.usualMs());
+        }
+        return q.workMs < BRIEF_SHARE * longest;
+    }
+
     /** Pressure: response times far above the usual, a report that says busy, or a refusal just now. */
     private boolean pressed(Engine e) {
         boolean news = now - e.reportNs < FRESH_NS;
