--- a/src/main/java/ashlink/Gateway.java
+++ b/src/main/java/ashlink/Gateway.java
@@ -44,7 +44,7 @@
     /** What a progress note tells. */
     enum NoteKind { SHARE_DONE, SPILLS_MB, WAITS }
 
-    /** How the list of engines came: whole, as changes, as remembered from before a restart, or not at all. */
+    /** How the list of engines came: whole, as changes, remembered from before a restart, or not at all. */
     enum ListForm { WHOLE, CHANGES, REMEMBERED, REFUSED }
 
     /**
@@ -59,7 +59,8 @@
      */
     record QueryClass(String name, long aimNs, double aimStretch, long deadlineNs, Effect effect,
             RepeatGroup repeatGroup, long repeatSpanNs, double worth, double lateShare, boolean inOrder,
-            Set<String> kinds, Set<String> zones, int threads, boolean holdsTables, boolean waitsForTables) { }
+            Set<String> kinds, Set<String> zones, int threads, boolean holdsTables,
+            boolean waitsForTables) { }
 
     /** A kind of engine: its cores and memory. */
     record EngineKind(String name, int cores, double memoryMb) { }
@@ -69,7 +70,7 @@
             boolean priorities, double largestGrant, boolean memoryQueues, long noteEveryNs,
             boolean costInAnswers, boolean reportsInline, boolean listMustBeAsked) { }
 
-    /** Figures of the rules; a figure that a site does not state is 0, and {@code budgetSpanNs} 0 is no budget. */
+    /** Figures of the rules; one that a site does not state is 0, and {@code budgetSpanNs} 0 is no budget. */
     record Limits(long drainGraceNs, double coldFrom, long coldNs, double coldMultiple, long coldWindowNs,
             long keyRestNs, double freeResends, double resendsPerRequest, long budgetSpanNs) { }
 
@@ -133,8 +134,8 @@
     record Progress(long id, int attempt, String engine, NoteKind kind, double amount) implements Event { }
 
     /**
-     * An attempt ended. {@code over} tells that the client has its answer; {@code workMs} and {@code memoryMb}
-     * are what the query truly needed, 0 where untold.
+     * An attempt ended. {@code over} tells that the client has its answer; {@code workMs} and
+     * {@code memoryMb} are what the query truly needed, 0 where untold.
      */
     record Ended(long id, int attempt, String engine, Outcome outcome, long tookNs, boolean over,
             double workMs, double memoryMb, Report report) implements Event { }
--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -1,4 +1,4 @@
-// Interface: Gateway.java declares the settings, events and actions used here. All decisions are in this file.
+// Interface: Gateway.java, next to this file, declares settings, events and actions. All decisions are here.
 package ashlink;
 
 import java.util.ArrayDeque;
@@ -8,22 +8,23 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.function.Predicate;
 
 /**
- * The decisions of one gateway, in the order in which a query meets them: taken, held, released to the lighter of
- * two random engines within a bound on threads, watched, ended; then the feedback that moves the bounds, and
+ * The decisions of one gateway, in the order in which a query meets them: taken, held, released to the
+ * lighter of two random engines within a bound on threads, watched, ended; then the feedback that moves the bounds, and
  * what is believed of the engines. docs/design.md tells why.
  */
 public final class Rules implements Gateway {
 
-    // ---- Constants: unit and reason --------------------------------------------------------------------------
+    // ---- Constants: unit and reason
     private static final long MS = 1_000_000L;
     /** Threads a core that seed an engine's bound: a little work overlaps with waits for the disks. */
     private static final double SEED_THREADS = 1.5;
-    /** Step of the bound as a share of its seed, at least one thread: small, so that a wrong step costs little. */
+    /** Step of the bound as a share of its seed, one thread at least: a wrong step costs little. */
     private static final double STEP_SHARE = 0.25;
     /** Gain in throughput that keeps a step up, and rise in response time that is a loss (the paper's 5%). */
     private static final double THRESHOLD = 0.05;
@@ -50,13 +51,14 @@
     private static final double BRIEF_LANE = 1.0;
     /** Nanoseconds for which an engine that refused gets nothing more: a resend at once is refused again. */
     private static final long FULL_PAUSE_NS = 200 * MS;
-    /** Times its usual time after which a running query is slow, and the share of slow ones that is pressure. */
+    /** Times its usual time after which a running query is slow, and the share of slow ones that presses. */
     private static final double SLOW_TIMES = 3;
     private static final double SLOW_SHARE = 0.4;
     /** Share of the time already run for which a given-up attempt that nothing stops is counted further. */
     private static final double GHOST_SHARE = 0.5;
     /** Weight of a new response time in an engine's mean: about the last ten queries. */
     private static final double MEAN_WEIGHT = 0.1;
+    private static final double CLASS_WEIGHT = 0.02;
     /** Quantile of a class's response times taken as its usual one, and the step of its tracker in logs. */
     private static final double USUAL_QUANTILE = 0.25;
     private static final double USUAL_STEP = 0.05;
@@ -77,7 +79,7 @@
     /** Nanoseconds an engine is left alone after a failed connection or a reset; doubled up to the second. */
     private static final long AVOID_NS = 500 * MS;
     private static final long AVOID_MOST_NS = 4_000 * MS;
-    /** Times its expected time from which a running query is taken for one with a bad plan, and restarts a query. */
+    /** Times its expected time from which a query has a bad plan, and restarts of one query. */
     private static final double BAD_PLAN = 4;
     private static final int BAD_PLAN_RESTARTS = 2;
     /** Memory granted over the estimate, and how fast the learnt correction follows. */
@@ -88,13 +90,15 @@
     /** Work in milliseconds assumed where nothing is told or learnt yet. */
     private static final double UNKNOWN_WORK_MS = 100;
     private static final long TICK_LABEL = 1;
+    /** Outcomes after which the engine may still work on the attempt. */
+    private static final Set<Outcome> MAY_STILL_RUN =
+            Set.of(Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED);
 
-    // ---- What a gateway remembers ----------------------------------------------------------------------------
+    // ---- What a gateway remembers
     private static final class ClassState {
         final QueryClass spec;
         double usualLog;                 // log of the usual response time x threads over the estimate
-        double meanMs = UNKNOWN_WORK_MS; // mean estimated work
-        boolean seen;
+        double meanMs;                   // mean estimated work, 0 while nothing is told
         double memoryBias = 1;           // learnt need over the estimate
 
         ClassState(QueryClass spec) {
@@ -102,7 +106,11 @@
         }
 
         double usualMs() {
-            return meanMs * Math.max(1, Math.exp(usualLog));
+            return knownMs() * Math.max(1, Math.exp(usualLog));
+        }
+
+        double knownMs() {
+            return meanMs > 0 ? meanMs : UNKNOWN_WORK_MS;
         }
     }
 
@@ -261,7 +269,7 @@
         return out;
     }
 
-    // ---- A query is taken and held -----------------------------------------------------------------------------
+    // ---- A query is taken and held
     private void take(Request r) {
         ClassState cls = classes.get(r.queryClass());
         if (cls == null || queries.containsKey(r.id())) {
@@ -271,10 +279,9 @@
         if (limits.budgetSpanNs() > 0) {
             taken.add(now);
         }
-        double estimate = r.workNs() > 0 ? r.workNs() / (double) MS : cls.meanMs;
+        double estimate = r.workNs() > 0 ? r.workNs() / (double) MS : cls.knownMs();
         if (r.workNs() > 0) {
-            cls.meanMs = cls.seen ? cls.meanMs + 0.02 * (estimate - cls.meanMs) : estimate;
-            cls.seen = true;
+            cls.meanMs += (cls.meanMs > 0 ? CLASS_WEIGHT : 1) * (estimate - cls.meanMs);
         }
         KeyLine line = cls.spec.inOrder() && r.key() != null
                 ? keys.computeIfAbsent(r.key(), k -> new KeyLine()) : null;
@@ -324,8 +331,8 @@
         }
     }
 
-    // ---- The choice of engine ----------------------------------------------------------------------------------
-    /** The lighter of two random engines that the rules, their health and their bounds leave open, or null. */
+    // ---- The choice of engine
+    /** The lighter of two random engines that rules, health and bounds leave open, or null. */
     private Engine choose(Query q) {
         List<Engine> open = new ArrayList<>();
         List<Engine> healthy = new ArrayList<>();
@@ -353,7 +360,7 @@
         return load(second, q) < load(first, q) ? second : first;
     }
 
-    /** Narrows the candidates to those that keep queries out of each other's way, where any of them is left. */
+    /** Narrows the candidates to those that keep loads and readers apart, where any of them is left. */
     private void prefer(Query q, List<Engine> candidates) {
         if (loads && readersWait && (q.cls.spec.holdsTables() || q.cls.spec.waitsForTables())) {
             List<Engine> homes = homes(q.tables);
@@ -368,8 +375,8 @@
     }
 
     /**
-     * Guards readers against standing still behind loads of their tables: all gateways hash a group to the same
-     * few engines, load it there and read it elsewhere, without a word between them.
+     * Guards readers against standing still behind loads of their tables: all gateways hash a group to the
+     * same engines, load it there and read it elsewhere, without a word between them.
      */
     private List<Engine> homes(long tables) {
         List<Engine> ready = new ArrayList<>();
@@ -393,8 +400,8 @@
     }
 
     /**
-     * The bound on threads binds only under pressure, and never an engine that runs none of ours. Guards against
-     * floods: gateways that hold queries see the same dip and would all fill one engine before it can tell.
+     * The bound on threads binds only under pressure, and never an engine that runs none of ours. Guards
+     * against floods: gateways that hold queries see the same dip and would all fill one engine before it can tell.
      */
     private boolean hasRoom(Query q, Engine e) {
         boolean idle = e.running.isEmpty() && e.ghosts.isEmpty();
@@ -409,7 +416,7 @@
         return room;
     }
 
-    /** Guards brief queries against waiting for room behind long ones: the paper's case for a higher level. */
+    /** Guards brief queries against waiting for room behind long ones: the paper's case for more room. */
     private boolean brief(Query q) {
         double longest = 0;
         for (ClassState c : classes.values()) {
@@ -425,7 +432,7 @@
                 || e.report.memoryGranted() >= BUSY_MEMORY);
         // Guards against taking a stall behind a load for a high level: a quiet report overrules slowness.
         boolean quiet = news && (e.report.coresBusy() < QUIET_CORES);
-        return busy || full(e) || !quiet && (e.slowLog > PRESSED_LOG || slowRunning(e));
+        return busy || now - e.fullNs < FRESH_NS || !quiet && (e.slowLog > PRESSED_LOG || slowRunning(e));
     }
 
     /** Guards against learning of a jam only from what comes out of it: many of ours already run for long. */
@@ -437,11 +444,7 @@
         return slow > SLOW_SHARE * e.running.size();
     }
 
-    private boolean full(Engine e) {
-        return now - e.fullNs < FRESH_NS;
-    }
-
-    // ---- The one send path: the rules are kept here ------------------------------------------------------------
+    // ---- The one send path: the rules are kept here
     private boolean maySend(Query q, Engine e) {
         return e.listed && e.phase == Phase.READY
                 && (q.cls.spec.kinds().isEmpty() || q.cls.spec.kinds().contains(e.kind))
@@ -451,10 +454,11 @@
     }
 
     private boolean hasTurn(Query q) {
-        return q.line == null || (q.line.waiting.peek() == q && (q.attempts > 0 || now >= q.line.restUntilNs));
+        return q.line == null
+                || q.line.waiting.peek() == q && (q.attempts > 0 || now >= q.line.restUntilNs);
     }
 
-    /** An unsafe query that may have run is never sent again; a deduplicated one only where repeats are dropped. */
+    /** An unsafe query that may have run stays; a deduplicated one goes where repeats are dropped. */
     private boolean effectAllows(Query q, Engine e) {
         if (q.mayHaveRunOn == null || q.cls.spec.effect() == Effect.IDEMPOTENT) {
             return true;
@@ -533,7 +537,7 @@
         return Math.max(1, Math.round(Math.min(most, q.memoryMb * q.cls.memoryBias * GRANT_MARGIN)));
     }
 
-    /** Classes that earn most for their work go first where cores are short; what is late goes last. */
+    /** Brief queries go first where cores are short: they delay long ones little. What is late goes last. */
     private int priority(Query q) {
         if (!allowed.priorities()) {
             return 1;
@@ -541,15 +545,10 @@
         if (now >= q.aimNs()) {
             return 0;
         }
-        double mine = q.cls.spec.worth() / q.cls.usualMs();
-        boolean best = true;
-        for (ClassState c : classes.values()) {
-            best &= c.spec.worth() / c.usualMs() <= mine;
-        }
-        return best ? 3 : 1;
+        return brief(q) ? 3 : 1;
     }
 
-    // ---- A running query is watched -----------------------------------------------------------------------------
+    // ---- A running query is watched
     private void progress(Progress p) {
         Query q = queries.get(p.id());
         Engine e = engines.get(p.engine());
@@ -571,8 +570,7 @@
         long ran = now - q.sentNs;
         double ahead = ran * (1 - share) / share;
         double fresh = q.usualNs() * Math.exp(Math.max(0, q.out.slowLog));
-        boolean repeatable = q.cls.spec.effect() == Effect.IDEMPOTENT && q.attempts < allowed.attempts();
-        if (allowed.cancels() && repeatable && !q.cancelled && q.restarts < BAD_PLAN_RESTARTS
+        if (movable(q) && q.restarts < BAD_PLAN_RESTARTS
                 && ahead + ran > BAD_PLAN * fresh && ahead > 2 * fresh && now + fresh < q.deadlineNs) {
             q.restarts++;
             cancel(q);
@@ -584,7 +582,7 @@
         out.add(new Cancel(q.id, q.attempts - 1));
     }
 
-    // ---- An attempt ends ------------------------------------------------------------------------------------------
+    // ---- An attempt ends
     private void ended(Ended e) {
         Query q = queries.get(e.id());
         Engine engine = engines.get(e.engine());
@@ -607,10 +605,7 @@
             q.mayHaveRunOn = ran;
             q.mayHaveRunNs = q.sentNs;
         }
-        boolean mayStillRun = switch (e.outcome()) {
-            case TIMED_OUT, RESET, CANCELLED -> true;
-            default -> false;
-        };
+        boolean mayStillRun = MAY_STILL_RUN.contains(e.outcome());
         if (q.line != null && mayStillRun) {
             q.line.restUntilNs = now + limits.keyRestNs();
         }
@@ -663,11 +658,12 @@
         }
     }
 
-    /** The one finish path: refuses where that is true and allowed, else fails; at once, with retry advice. */
+    /** The one finish path: refuses where that is harmless, else fails; at once, with retry advice. */
     private void answer(Query q) {
         unhold(q);
         q.over = true;
-        boolean harmless = q.out == null && (q.mayHaveRunOn == null || q.cls.spec.effect() == Effect.IDEMPOTENT
+        boolean harmless = q.out == null && (q.mayHaveRunOn == null
+                || q.cls.spec.effect() == Effect.IDEMPOTENT
                 || q.cls.spec.effect() == Effect.DEDUPLICATED && q.cls.spec.repeatGroup() == RepeatGroup.ALL);
         out.add(harmless ? new Refuse(q.id, allowed.longestRetryAfterNs()) : new Fail(q.id));
         forget(q);
@@ -690,16 +686,16 @@
         if (q == null) {
             return;
         }
-        q.over = true;
-        unhold(q);
-        if (q.out != null && allowed.cancels() && !q.cancelled && q.cls.spec.effect() == Effect.IDEMPOTENT) {
+        if (q.out != null && movable(q)) {
             cancel(q); // the work would serve nobody
         }
+        q.over = true;
+        unhold(q);
         forget(q);
         release();
     }
 
-    // ---- Feedback: what answers teach, and the steps of the bound ---------------------------------------------
+    // ---- Feedback: what answers teach, and the steps of the bound
     private void learn(Query q, Engine e, Ended end) {
         double stretch = Math.log(Math.max(1e-3,
                 end.tookNs() / (double) MS * q.cls.spec.threads() / Math.max(1e-3, q.estimateMs)));
@@ -744,10 +740,9 @@
         double size = Math.max(1, STEP_SHARE * e.seed);
         boolean outwait = heldOutwaitAims();
         boolean slower = e.lastResponseNs > 0 && response > e.lastResponseNs * (1 + THRESHOLD);
-        boolean atSeed = e.bound - size < e.seed && !outwait && !e.periodFull;
-        boolean mayFall = !outwait && !slower && !atSeed;
+        boolean mayFall = !outwait && !slower && (e.bound - size >= e.seed || e.periodFull);
         if (e.periodHeld) {
-            boolean gained = throughput >= e.lastThroughput * (1 + THRESHOLD);
+            boolean gained = throughput > e.lastThroughput * (1 + THRESHOLD);
             if (e.lastStep > 0 && !gained) {
                 move(e, mayFall ? -size : 0);
             } else {
@@ -773,7 +768,7 @@
         return false;
     }
 
-    // ---- What is believed of the engines ----------------------------------------------------------------------
+    // ---- What is believed of the engines
     private void note(Engine e, Report r) {
         if (!r.equals(Report.NONE)) {
             e.report = r;
@@ -868,7 +863,7 @@
         }
     }
 
-    // ---- House-keeping --------------------------------------------------------------------------------------------
+    // ---- House-keeping
     private void tick() {
         out.add(new SetAlarm(TICK_LABEL, now + TICK_NS));
         boolean contended = contended();
@@ -883,12 +878,6 @@
                 hold(q);
             }
         }
-        if (now / (3000 * MS) != (now - TICK_NS) / (3000 * MS) && settings.position() == 0) {
-            StringBuilder b = new StringBuilder("t=" + now / MS + " held=" + held.size());
-            for (ClassState c : classes.values()) b.append(String.format(" %s:u=%.2f,m=%.0f,mb=%.2f", c.spec.name(), c.usualLog, c.meanMs, c.memoryBias));
-            for (Engine e : engines.values()) b.append(String.format(" | r%d t%d/%.1f s%.2f %s q%.0f c%.2f m%.2f", e.running.size(), e.threads, e.bound, e.slowLog, pressed(e) ? "P" : "-", e.report.waiting(), e.report.coresBusy(), e.report.memoryGranted()));
-            out.add(new Log(b.toString()));
-        }
         for (Engine e : engines.values()) {
             if (!e.listed) {
                 continue;
@@ -918,14 +907,15 @@
 
     /** Takes repeatable queries away from a silent engine, where a cancel frees them. */
     private void leave(Engine e) {
-        if (!allowed.cancels()) {
-            return;
-        }
         for (Query q : e.running) {
-            boolean repeatable = q.cls.spec.effect() == Effect.IDEMPOTENT && q.attempts < allowed.attempts();
-            if (repeatable && !q.over && !q.cancelled) {
+            if (movable(q)) {
                 cancel(q);
             }
         }
     }
+
+    private boolean movable(Query q) {
+        return allowed.cancels() && q.cls.spec.effect() == Effect.IDEMPOTENT && !q.over && !q.cancelled
+                && q.attempts < allowed.attempts();
+    }
 }
--- /dev/null
+++ b/src/test/java/ashlink/AuditTest.java
@@ -0,0 +1,163 @@
+package ashlink;
+
+import static ashlink.Router.ALLOWED;
+import static ashlink.Router.LIMITS;
+import static ashlink.Router.MS;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ashlink.Gateway.Action;
+import ashlink.Gateway.Effect;
+import ashlink.Gateway.Fail;
+import ashlink.Gateway.ListForm;
+import ashlink.Gateway.Outcome;
+import ashlink.Gateway.Phase;
+import ashlink.Gateway.Probed;
+import ashlink.Gateway.Refuse;
+import ashlink.Gateway.RepeatGroup;
+import ashlink.Gateway.Report;
+import ashlink.Gateway.Send;
+import ashlink.Gateway.Settings;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** A seeded stream of random events, with every action held against the rules; and what is true of the module's text. */
+class AuditTest {
+
+    private static final Outcome[] OUTCOMES = Outcome.values();
+
+    private static Settings settings() {
+        return Router.settings(2, ALLOWED, LIMITS, Router.look("look"), Router.report(Set.of("big"), Set.of()),
+                Router.load(Effect.AT_MOST_ONCE, RepeatGroup.ALL, true));
+    }
+
+    /** Plays the stream of that seed and returns all actions as text. */
+    private static String play(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Router r = new Router(settings());
+        Map<Long, Send> out = new HashMap<>();
+        Map<Long, Integer> sent = new HashMap<>();
+        Map<Long, Long> deadlines = new HashMap<>();
+        Set<Long> loads = new HashSet<>();
+        Set<Long> reports = new HashSet<>();
+        Set<Long> ran = new HashSet<>();
+        Set<Long> answered = new HashSet<>();
+        Set<String> closed = new HashSet<>();
+        String[] names = {"a", "b", "c", "d"};
+        r.list(ListForm.REMEMBERED, Router.ready("a"), Router.ready("b"),
+                Router.entry("c", "z1", "small", Phase.READY, 0));
+        int checked = 0;
+        for (long id = 0; id < 3_000; id++) {
+            int kind = random.nextInt(10);
+            if (kind < 4) {
+                String c = List.of("look", "report", "load").get(random.nextInt(3));
+                deadlines.put(id, r.now + 3_000 * MS);
+                (c.equals("load") ? loads : c.equals("report") ? reports : new HashSet<Long>()).add(id);
+                r.ask(id, c, c.equals("load") ? "k" + random.nextInt(3) : null, random.nextInt(5),
+                        random.nextInt(2_000), 3_000);
+            } else if (kind < 8 && !out.isEmpty()) {
+                long which = out.keySet().stream().sorted().skip(random.nextInt(out.size())).findFirst().orElseThrow();
+                Outcome o = OUTCOMES[random.nextInt(OUTCOMES.length)];
+                Send s = out.remove(which);
+                if (o.mayHaveRun()) {
+                    ran.add(which);
+                }
+                if (o == Outcome.SERVED) {
+                    assertTrue(answered.add(which), "answered twice");
+                }
+                r.end(which, sent.get(which) - 1, s.engine(), o, 1 + random.nextInt(2_000));
+            } else if (kind == 8) {
+                String name = names[random.nextInt(names.length)];
+                Phase phase = Phase.values()[random.nextInt(3)];
+                if (phase == Phase.READY) {
+                    closed.remove(name);
+                } else {
+                    closed.add(name);
+                }
+                r.list(ListForm.CHANGES, Router.entry(name, "z1", name.equals("c") ? "small" : "big", phase, 0));
+            } else {
+                r.on(new Probed(names[random.nextInt(3)], OUTCOMES[random.nextInt(OUTCOMES.length)], MS,
+                        new Report(random.nextInt(3), random.nextDouble(), Double.NaN, Double.NaN)));
+            }
+            checked = audit(r, checked, out, sent, loads, reports, ran, answered, closed);
+            timeOut(r, out, sent, deadlines, ran);
+            checked = audit(r, checked, out, sent, loads, reports, ran, answered, closed);
+            r.pass(random.nextInt(40));
+            checked = audit(r, checked, out, sent, loads, reports, ran, answered, closed);
+        }
+        for (int i = 0; i < 100; i++) {
+            r.pass(50);
+            checked = audit(r, checked, out, sent, loads, reports, ran, answered, closed);
+            timeOut(r, out, sent, deadlines, ran);
+        }
+        audit(r, checked, out, sent, loads, reports, ran, answered, closed);
+        assertEquals(deadlines.keySet(), answered, "every query has its answer");
+        return r.actions.toString();
+    }
+
+    private static void timeOut(Router r, Map<Long, Send> out, Map<Long, Integer> sent, Map<Long, Long> deadlines,
+            Set<Long> ran) {
+        for (long id : out.keySet().stream().sorted().toList()) {
+            if (r.now >= deadlines.get(id)) {
+                ran.add(id);
+                r.end(id, sent.get(id) - 1, out.remove(id).engine(), Outcome.TIMED_OUT, 3_000);
+            }
+        }
+    }
+
+    private static int audit(Router r, int from, Map<Long, Send> out, Map<Long, Integer> sent, Set<Long> loads,
+            Set<Long> reports, Set<Long> ran, Set<Long> answered, Set<String> closed) {
+        for (Action a : r.actions.subList(from, r.actions.size())) {
+            if (a instanceof Send s) {
+                assertTrue(!answered.contains(s.id()), "sent after its answer");
+                assertTrue(out.put(s.id(), s) == null, "two attempts out");
+                assertTrue(!closed.contains(s.engine()), "sent to a draining engine");
+                assertTrue(!loads.contains(s.id()) || !ran.contains(s.id()), "an unsafe query sent again");
+                assertTrue(!reports.contains(s.id()) || !s.engine().equals("c"), "sent to a wrong kind");
+                assertTrue(sent.merge(s.id(), 1, Integer::sum) <= ALLOWED.attempts(), "too many attempts");
+            } else if (a instanceof Refuse f) {
+                assertTrue(!loads.contains(f.id()) || !ran.contains(f.id()), "refused though it may have run");
+                assertTrue(answered.add(f.id()), "answered twice");
+            } else if (a instanceof Fail f) {
+                assertTrue(answered.add(f.id()), "answered twice");
+            }
+        }
+        return r.actions.size();
+    }
+
+    @Test
+    void randomEventsBreakNoRule() {
+        for (long seed = 1; seed <= 5; seed++) {
+            play(seed);
+        }
+    }
+
+    @Test
+    void theSameEventsGiveTheSameActionsWhateverElseRuns() {
+        String alone = play(11);
+        Router other = new Router(settings());
+        other.engines("x", "y");
+        other.ask(1, "look", null, 10);
+        assertEquals(alone, play(11));
+    }
+
+    @Test
+    void theModuleKeepsItsLimits() throws IOException {
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/ashlink/Rules.java"));
+        List<String> wide = new ArrayList<>(lines);
+        wide.removeIf(line -> line.length() <= 110);
+        assertEquals(List.of(), wide);
+        long written = lines.stream().filter(line -> !line.isBlank()).count();
+        assertTrue(written <= 850, written + " lines");
+        assertTrue(lines.get(0).contains("Gateway.java"));
+    }
+}
--- /dev/null
+++ b/src/test/java/ashlink/MechanismTest.java
@@ -0,0 +1,272 @@
+package ashlink;
+
+import static ashlink.Router.ALLOWED;
+import static ashlink.Router.LIMITS;
+import static ashlink.Router.MS;
+import static ashlink.Router.enginesOf;
+import static ashlink.Router.load;
+import static ashlink.Router.look;
+import static ashlink.Router.only;
+import static ashlink.Router.report;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ashlink.Gateway.Allowed;
+import ashlink.Gateway.Cancel;
+import ashlink.Gateway.Effect;
+import ashlink.Gateway.NoteKind;
+import ashlink.Gateway.Outcome;
+import ashlink.Gateway.Probe;
+import ashlink.Gateway.Probed;
+import ashlink.Gateway.Progress;
+import ashlink.Gateway.Refuse;
+import ashlink.Gateway.RepeatGroup;
+import ashlink.Gateway.Report;
+import ashlink.Gateway.Send;
+import ashlink.Gateway.Terms;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** The parts of the mechanism and the guards around it. */
+class MechanismTest {
+
+    private static final Report BUSY = new Report(5, 1, 1, 1);
+
+    private static void busy(Router r, String... engines) {
+        for (String e : engines) {
+            r.on(new Probed(e, Outcome.SERVED, MS, BUSY));
+        }
+    }
+
+    private static Router reports(String... engines) {
+        return Router.with(report(Set.of(), Set.of()), look("look")).engines(engines);
+    }
+
+    @Test
+    void underPressureTheBoundSeedsFromCoresAndHoldsTheRest() {
+        Router r = reports("a");
+        busy(r, "a");
+        for (int i = 0; i < 10; i++) {
+            r.ask(i, "report", null, 1_000);
+        }
+        assertEquals(3, r.sends().size()); // 1.5 threads x 4 cores, two threads each
+    }
+
+    @Test
+    void anEngineThatRunsNoneOfOursIsOpenUnderPressure() {
+        Router r = new Router(Router.settings(6, ALLOWED, LIMITS, report(Set.of(), Set.of()))).engines("a", "b");
+        busy(r, "a", "b");
+        for (int i = 0; i < 5; i++) {
+            r.ask(i, "report", null, 1_000);
+        }
+        assertEquals(Set.of("a", "b"), new HashSet<>(enginesOf(r.actions)));
+        assertEquals(2, r.sends().size());
+    }
+
+    @Test
+    void withoutPressureAnEngineTakesTwiceItsSeedAtMost() {
+        Router r = reports("a");
+        for (int i = 0; i < 40; i++) {
+            r.ask(i, "report", null, 1_000);
+        }
+        assertEquals(6, r.sends().size());
+    }
+
+    @Test
+    void heldQueriesLeaveHighestWorthFirst() {
+        Router r = Router.with(look("plain"), report(Set.of(), Set.of()),
+                load(Effect.AT_MOST_ONCE, RepeatGroup.ALL, false)).engines();
+        r.ask(1, "plain", null, 1_000);
+        r.ask(2, "load", null, 1_000);
+        r.ask(3, "report", null, 1_000);
+        r.engines("a");
+        assertEquals(List.of(3L, 2L, 1L), r.sends().stream().map(Send::id).toList());
+    }
+
+    @Test
+    void theLighterOfTwoEnginesIsChosen() {
+        Router r = reports("a", "b");
+        String first = enginesOf(r.ask(1, "report", null, 5_000)).get(0);
+        for (int i = 2; i < 6; i++) {
+            assertNotEquals(first, enginesOf(r.ask(i, "report", null, 100)).get(0));
+        }
+    }
+
+    @Test
+    void theBoundStepsUpWhileQueriesAreHeldForAPeriod() {
+        Router r = reports("a");
+        busy(r, "a");
+        for (int i = 0; i < 10; i++) {
+            r.ask(i, "report", null, 4_000);
+        }
+        int before = r.sends().size();
+        for (int i = 0; i < 22; i++) {
+            r.pass(100);
+            busy(r, "a");
+        }
+        assertEquals(before + 1, r.sends().size());
+    }
+
+    @Test
+    void aStepUpThatGainedNothingIsUndone() {
+        Router r = reports("a");
+        busy(r, "a");
+        for (int i = 0; i < 30; i++) {
+            r.ask(i, "report", null, 9_000);
+        }
+        for (int i = 0; i < 42; i++) { // two periods: up, then, with nothing gained, down again
+            r.pass(100);
+            busy(r, "a");
+        }
+        int sent = r.sends().size();
+        r.end(0, 0, "a", Outcome.SERVED, 4_000, BUSY);
+        assertEquals(sent, r.sends().size());
+    }
+
+    @Test
+    void briefQueriesGetRoomBesideTheBound() {
+        Router r = reports("a");
+        busy(r, "a");
+        for (int i = 0; i < 10; i++) {
+            r.ask(i, "report", null, 2_000);
+        }
+        int full = r.sends().size();
+        r.ask(20, "look", null, 50);
+        assertEquals(full + 1, r.sends().size());
+    }
+
+    @Test
+    void aRefusalPausesTheEngine() {
+        Router r = reports("a");
+        r.ask(1, "report", null, 100);
+        assertTrue(only(Send.class, r.end(1, 0, "a", Outcome.TURNED_AWAY, 1)).isEmpty());
+        assertTrue(only(Send.class, r.pass(190)).isEmpty());
+        assertEquals(1, only(Send.class, r.pass(200)).size());
+    }
+
+    @Test
+    void whatWasGivenUpButRunsOnStillCounts() {
+        Allowed noCancel = new Allowed(true, false, 4, 0, false, false, 1, false, 0, false, true, false);
+        Router r = new Router(Router.settings(6, noCancel, LIMITS, report(Set.of(), Set.of()))).engines("a");
+        busy(r, "a");
+        r.ask(1, "report", null, 1_000);
+        r.pass(1_000);
+        busy(r, "a");
+        assertTrue(only(Send.class, r.end(1, 0, "a", Outcome.TIMED_OUT, 1_000)).isEmpty());
+        assertEquals(1, only(Send.class, r.pass(600)).size());
+    }
+
+    @Test
+    void queriesThatRunForLongArePressureBeforeTheyEnd() {
+        Router r = reports("a");
+        r.ask(1, "report", null, 400);
+        r.ask(2, "report", null, 400);
+        r.ask(3, "report", null, 400);
+        r.pass(1_000);
+        r.ask(4, "report", null, 400);
+        assertEquals(3, r.sends().size());
+    }
+
+    @Test
+    void aQuietReportOverrulesSlowness() {
+        Router r = reports("a");
+        for (int i = 1; i < 4; i++) {
+            r.ask(i, "report", null, 400);
+        }
+        r.pass(1_000);
+        r.on(new Probed("a", Outcome.SERVED, MS, new Report(0, 0.1, 0.1, Double.NaN)));
+        r.ask(4, "report", null, 400);
+        assertEquals(4, r.sends().size());
+    }
+
+    @Test
+    void aSilentEngineIsShunnedAndLeft() {
+        Router r = reports("a", "b", "c");
+        String silent = enginesOf(r.ask(1, "report", null, 5_000)).get(0);
+        List<Gateway.Action> seen = new java.util.ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            for (String e : List.of("a", "b", "c")) {
+                r.on(new Probed(e, e.equals(silent) ? Outcome.TIMED_OUT : Outcome.SERVED, MS, Report.NONE));
+            }
+            seen.addAll(r.pass(300));
+        }
+        assertEquals(List.of(new Cancel(1, 0)), only(Cancel.class, seen));
+        assertFalse(only(Probe.class, seen).isEmpty());
+        r.end(1, 0, silent, Outcome.CANCELLED, 1_000);
+        assertNotEquals(silent, r.sends().get(1).engine());
+    }
+
+    @Test
+    void whereAllEnginesLookBadNoneIsShunned() {
+        Router r = reports("a", "b");
+        for (int i = 0; i < 4; i++) {
+            r.on(new Probed("a", Outcome.TIMED_OUT, MS, Report.NONE));
+            r.on(new Probed("b", Outcome.TIMED_OUT, MS, Report.NONE));
+            r.pass(300);
+        }
+        assertEquals(1, enginesOf(r.ask(1, "report", null, 100)).size());
+    }
+
+    @Test
+    void aBadPlanIsCancelledAndSentAgain() {
+        Router r = reports("a", "b");
+        String engine = enginesOf(r.ask(1, "report", null, 1_000)).get(0);
+        r.pass(1_000);
+        List<Gateway.Action> decided = r.on(new Progress(1, 0, engine, NoteKind.SHARE_DONE, 0.05));
+        assertEquals(List.of(new Cancel(1, 0)), only(Cancel.class, decided));
+        r.end(1, 0, engine, Outcome.CANCELLED, 1_000);
+        assertEquals(2, r.sends().size());
+    }
+
+    @Test
+    void aPlanThatGoesWellIsLeftAlone() {
+        Router r = reports("a", "b");
+        String engine = enginesOf(r.ask(1, "report", null, 1_000)).get(0);
+        r.pass(1_000);
+        assertTrue(only(Cancel.class, r.on(new Progress(1, 0, engine, NoteKind.SHARE_DONE, 0.8))).isEmpty());
+    }
+
+    @Test
+    void loadsAndReadersOfAGroupKeepToDifferentEngines() {
+        Router r = Router.with(report(Set.of(), Set.of()), load(Effect.AT_MOST_ONCE, RepeatGroup.ALL, false))
+                .engines("a", "b", "c", "d");
+        Set<String> loads = new HashSet<>();
+        Set<String> readers = new HashSet<>();
+        for (int i = 0; i < 40; i += 2) {
+            loads.addAll(enginesOf(r.ask(i, "load", null, 10)));
+            r.end(i, 0, r.sends().get(i).engine(), Outcome.SERVED, 5);
+            readers.addAll(enginesOf(r.ask(i + 1, "report", null, 10)));
+            r.end(i + 1, 0, r.sends().get(i + 1).engine(), Outcome.SERVED, 5);
+        }
+        assertEquals(2, loads.size());
+        loads.retainAll(readers);
+        assertTrue(loads.isEmpty());
+    }
+
+    @Test
+    void lateHeldQueriesAreGivenUpWhileOthersCanBeInTime() {
+        Router r = reports();
+        r.ask(1, "look", null, 50);
+        r.pass(400);
+        r.ask(2, "report", null, 50);
+        assertEquals(List.of(1L), only(Refuse.class, r.pass(300)).stream().map(Refuse::id).toList());
+    }
+
+    @Test
+    void spillsRaiseTheGrantAndItStaysUnderTheLargest() {
+        Router r = reports("a");
+        long first = only(Terms.class, r.ask(0, "report", null, 100)).get(0).memoryMb();
+        for (int i = 0; i < 100; i++) {
+            r.on(new Progress(i, 0, "a", NoteKind.SPILLS_MB, 50));
+            r.end(i, 0, "a", Outcome.SERVED, 50);
+            r.ask(i + 1, "report", null, 100);
+        }
+        List<Terms> terms = only(Terms.class, r.actions);
+        assertTrue(terms.get(100).memoryMb() > first);
+        assertTrue(terms.get(100).memoryMb() <= 0.4 * 8_000);
+    }
+}
--- /dev/null
+++ b/src/test/java/ashlink/Router.java
@@ -0,0 +1,136 @@
+package ashlink;
+
+import ashlink.Gateway.Action;
+import ashlink.Gateway.Alarm;
+import ashlink.Gateway.Allowed;
+import ashlink.Gateway.Effect;
+import ashlink.Gateway.Ended;
+import ashlink.Gateway.EngineKind;
+import ashlink.Gateway.Event;
+import ashlink.Gateway.Limits;
+import ashlink.Gateway.ListEntry;
+import ashlink.Gateway.ListForm;
+import ashlink.Gateway.ListNews;
+import ashlink.Gateway.Outcome;
+import ashlink.Gateway.Phase;
+import ashlink.Gateway.QueryClass;
+import ashlink.Gateway.RepeatGroup;
+import ashlink.Gateway.Report;
+import ashlink.Gateway.Request;
+import ashlink.Gateway.Send;
+import ashlink.Gateway.SetAlarm;
+import ashlink.Gateway.Settings;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+
+/** A router for tests: hands events to a gateway at a time set by the test and keeps what it decided. */
+final class Router {
+
+    static final long MS = 1_000_000L;
+    static final Allowed ALLOWED = new Allowed(true, true, 4, 500 * MS, true, true, 0.4, true, 1_000 * MS, false,
+            false, false);
+    static final Limits LIMITS = new Limits(1_000 * MS, 0.3, 10_000 * MS, 3, 2_000 * MS, 300 * MS, 0, 0, 0);
+
+    final Gateway gateway;
+    final List<Action> actions = new ArrayList<>();
+    long now = 100_000 * MS;
+    private long alarmNs = Long.MAX_VALUE;
+
+    Router(Settings settings) {
+        gateway = new Rules(settings);
+    }
+
+    static QueryClass look(String name) {
+        return new QueryClass(name, 500 * MS, 1, 3_000 * MS, Effect.IDEMPOTENT, RepeatGroup.ALL, 0, 1, 0.1, false,
+                Set.of(), Set.of(), 1, false, false);
+    }
+
+    static QueryClass report(Set<String> kinds, Set<String> zones) {
+        return new QueryClass("report", 5_000 * MS, 1, 20_000 * MS, Effect.IDEMPOTENT, RepeatGroup.ALL, 0, 8, 0.4,
+                false, kinds, zones, 2, false, true);
+    }
+
+    static QueryClass load(Effect effect, RepeatGroup group, boolean inOrder) {
+        return new QueryClass("load", 5_000 * MS, 1, 20_000 * MS, effect, group, 2_000 * MS, 7, 0.5, inOrder,
+                Set.of(), Set.of(), 2, true, false);
+    }
+
+    static Settings settings(int gateways, Allowed allowed, Limits limits, QueryClass... classes) {
+        return new Settings(7, gateways, 0, "z1", List.of(classes),
+                List.of(new EngineKind("big", 4, 8_000), new EngineKind("small", 4, 8_000)), allowed, limits);
+    }
+
+    static Router with(QueryClass... classes) {
+        return new Router(settings(1, ALLOWED, LIMITS, classes));
+    }
+
+    static ListEntry entry(String engine, String zone, String kind, Phase phase, long startedNs) {
+        return new ListEntry(engine, phase, zone, kind, zone.hashCode(), startedNs);
+    }
+
+    static ListEntry ready(String engine) {
+        return entry(engine, "z1", "big", Phase.READY, 0);
+    }
+
+    Router list(ListForm form, ListEntry... entries) {
+        on(new ListNews(form, Arrays.asList(entries)));
+        return this;
+    }
+
+    Router engines(String... names) {
+        return list(ListForm.WHOLE, Arrays.stream(names).map(Router::ready).toArray(ListEntry[]::new));
+    }
+
+    List<Action> on(Event event) {
+        List<Action> decided = gateway.on(event, now);
+        for (Action a : decided) {
+            if (a instanceof SetAlarm alarm) {
+                alarmNs = alarm.timeNs();
+            }
+        }
+        actions.addAll(decided);
+        return decided;
+    }
+
+    List<Action> ask(long id, String queryClass, String key, long workMs) {
+        return ask(id, queryClass, key, 1, workMs, 20_000);
+    }
+
+    List<Action> ask(long id, String queryClass, String key, long tables, long workMs, long withinMs) {
+        return on(new Request(id, queryClass, key, tables, now + withinMs * MS, workMs * MS, 100));
+    }
+
+    List<Action> end(long id, int attempt, String engine, Outcome outcome, long tookMs) {
+        return end(id, attempt, engine, outcome, tookMs, Report.NONE);
+    }
+
+    List<Action> end(long id, int attempt, String engine, Outcome outcome, long tookMs, Report report) {
+        return on(new Ended(id, attempt, engine, outcome, tookMs * MS, outcome == Outcome.SERVED, 0, 0, report));
+    }
+
+    /** Lets time pass, with each alarm at its time, and returns what was decided on the way. */
+    List<Action> pass(long ms) {
+        int from = actions.size();
+        long until = now + ms * MS;
+        while (alarmNs <= until) {
+            now = alarmNs;
+            on(new Alarm(1));
+        }
+        now = until;
+        return List.copyOf(actions.subList(from, actions.size()));
+    }
+
+    static <T extends Action> List<T> only(Class<T> type, List<Action> actions) {
+        return actions.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    List<Send> sends() {
+        return only(Send.class, actions);
+    }
+
+    static List<String> enginesOf(List<Action> actions) {
+        return only(Send.class, actions).stream().map(Send::engine).toList();
+    }
+}
--- /dev/null
+++ b/src/test/java/ashlink/RulesKeptTest.java
@@ -0,0 +1,202 @@
+package ashlink;
+
+import static ashlink.Router.ALLOWED;
+import static ashlink.Router.LIMITS;
+import static ashlink.Router.MS;
+import static ashlink.Router.enginesOf;
+import static ashlink.Router.entry;
+import static ashlink.Router.load;
+import static ashlink.Router.look;
+import static ashlink.Router.only;
+import static ashlink.Router.report;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ashlink.Gateway.Allowed;
+import ashlink.Gateway.Effect;
+import ashlink.Gateway.Fail;
+import ashlink.Gateway.Limits;
+import ashlink.Gateway.ListForm;
+import ashlink.Gateway.Outcome;
+import ashlink.Gateway.Phase;
+import ashlink.Gateway.Refuse;
+import ashlink.Gateway.RepeatGroup;
+import ashlink.Gateway.Send;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** The seven rules, one by one. */
+class RulesKeptTest {
+
+    @Test
+    void aHeldQueryIsRefusedBeforeItsDeadlineAndOnlyOnce() {
+        Router r = Router.with(report(Set.of(), Set.of())).engines();
+        r.ask(1, "report", null, 1, 100, 900);
+        List<Refuse> refused = only(Refuse.class, r.pass(900));
+        assertEquals(1, refused.size());
+        assertTrue(refused.get(0).retryAfterNs() > 0);
+        assertTrue(only(Refuse.class, r.pass(5_000)).isEmpty());
+    }
+
+    @Test
+    void aQueryWhoseTimeIsShortOnArrivalIsAnsweredAtOnce() {
+        Router r = Router.with(look("look")).engines();
+        assertEquals(1, only(Refuse.class, r.ask(1, "look", null, 1, 100, 20)).size());
+    }
+
+    @Test
+    void aQueryOfAnUnknownClassIsRefused() {
+        Router r = Router.with(look("look")).engines("a");
+        assertEquals(List.of(new Refuse(1, 0)), only(Refuse.class, r.ask(1, "other", null, 10)));
+    }
+
+    @Test
+    void anUnsafeQueryThatMayHaveRunIsFailedAndNotSentAgain() {
+        for (Outcome o : List.of(Outcome.TIMED_OUT, Outcome.RESET, Outcome.ERROR, Outcome.CANCELLED)) {
+            Router r = Router.with(load(Effect.AT_MOST_ONCE, RepeatGroup.ALL, false)).engines("a", "b");
+            String engine = enginesOf(r.ask(1, "load", null, 100)).get(0);
+            assertEquals(List.of(new Fail(1)), only(Fail.class, r.end(1, 0, engine, o, 100)), o.name());
+            assertTrue(only(Send.class, r.pass(3_000)).isEmpty());
+        }
+    }
+
+    @Test
+    void anUnsafeQueryThatNeverRanIsSentAgain() {
+        Router r = Router.with(load(Effect.AT_MOST_ONCE, RepeatGroup.ALL, false)).engines("a", "b");
+        String engine = enginesOf(r.ask(1, "load", null, 100)).get(0);
+        r.end(1, 0, engine, Outcome.NO_CONNECTION, 1);
+        r.pass(1_000);
+        assertEquals(2, r.sends().size());
+        assertTrue(!r.sends().get(1).engine().equals(engine));
+    }
+
+    @Test
+    void aDeduplicatedQueryIsRepeatedOnlyInItsGroupAndWithinItsSpan() {
+        Router r = Router.with(load(Effect.DEDUPLICATED, RepeatGroup.ZONE, false));
+        r.list(ListForm.WHOLE, Router.ready("a"), entry("far", "z2", "big", Phase.DRAINING, 0));
+        r.ask(1, "load", null, 100);
+        r.list(ListForm.CHANGES, entry("a", "z1", "big", Phase.DRAINING, 0), entry("far", "z2", "big", Phase.READY, 0),
+                entry("near", "z1", "big", Phase.DRAINING, 0));
+        r.end(1, 0, "a", Outcome.ERROR, 10);
+        r.pass(500);
+        assertEquals(1, r.sends().size());
+        r.list(ListForm.CHANGES, Router.ready("near"));
+        assertEquals("near", r.sends().get(1).engine());
+        r.end(1, 1, "near", Outcome.ERROR, 10);
+        assertEquals(3, r.sends().size());
+        r.pass(2_000);
+        r.end(1, 2, "near", Outcome.ERROR, 10);
+        r.pass(1_000);
+        assertEquals(3, r.sends().size());
+    }
+
+    @Test
+    void neverTwoAttemptsOfOneQueryAreOut() {
+        Router r = Router.with(report(Set.of(), Set.of())).engines("a", "b");
+        r.ask(1, "report", null, 100);
+        r.pass(10_000);
+        assertEquals(1, r.sends().size());
+    }
+
+    @Test
+    void nothingGoesToAnEngineThatDrainsIsGoneOrHasLeftAWholeList() {
+        Router r = Router.with(look("look")).engines("a", "b", "c", "d");
+        r.list(ListForm.CHANGES, entry("a", "z1", "big", Phase.DRAINING, 0), entry("b", "z1", "big", Phase.GONE, 0));
+        r.list(ListForm.WHOLE, entry("a", "z1", "big", Phase.DRAINING, 0), Router.ready("c"));
+        for (int i = 0; i < 30; i++) {
+            assertEquals(List.of("c"), enginesOf(r.ask(i, "look", null, 10)));
+            r.end(i, 0, "c", Outcome.SERVED, 10);
+        }
+    }
+
+    @Test
+    void aColdEngineIsSentLessThanOurShareOfWhatItBears() {
+        Router r = new Router(Router.settings(2, ALLOWED, LIMITS, look("look")));
+        r.list(ListForm.WHOLE, entry("cold", "z1", "big", Phase.READY, r.now - MS));
+        for (int i = 0; i < 200; i++) {
+            r.ask(i, "look", null, 1, 100, 1_000);
+            if (!r.sends().isEmpty()) {
+                r.end(r.sends().get(r.sends().size() - 1).id(), 0, "cold", Outcome.SERVED, 100);
+            }
+        }
+        double bears = 3 * 0.3 * 4 * 0.85 * 2_000 / 2;
+        assertTrue(!r.sends().isEmpty());
+        assertTrue(r.sends().size() * 100 <= bears, r.sends().size() + " sent");
+        r.pass(10_000);
+        int before = r.sends().size();
+        for (int i = 300; i < 310; i++) {
+            r.ask(i, "look", null, 100);
+            r.end(i, 0, "cold", Outcome.SERVED, 100);
+        }
+        assertEquals(before + 10, r.sends().size());
+    }
+
+    @Test
+    void queriesOfAKeyRunOneAtATimeInOrder() {
+        Router r = Router.with(load(Effect.AT_MOST_ONCE, RepeatGroup.ALL, true)).engines("a", "b", "c");
+        r.ask(1, "load", "k", 100);
+        r.ask(2, "load", "k", 100);
+        r.ask(3, "load", "other", 100);
+        assertEquals(List.of(1L, 3L), r.sends().stream().map(Send::id).toList());
+        r.end(1, 0, r.sends().get(0).engine(), Outcome.SERVED, 10);
+        assertEquals(List.of(1L, 3L, 2L), r.sends().stream().map(Send::id).toList());
+    }
+
+    @Test
+    void aKeyRestsAfterAnAttemptThatMayStillRun() {
+        Router r = Router.with(load(Effect.AT_MOST_ONCE, RepeatGroup.ALL, true)).engines("a", "b", "c");
+        r.ask(1, "load", "k", 100);
+        r.ask(2, "load", "k", 100);
+        r.end(1, 0, r.sends().get(0).engine(), Outcome.TIMED_OUT, 10);
+        r.pass(299);
+        assertEquals(1, r.sends().size());
+        r.pass(60);
+        assertEquals(2, r.sends().size());
+    }
+
+    @Test
+    void aKeyWaitsForAnAttemptWhoseClientIsGone() {
+        Router r = Router.with(load(Effect.AT_MOST_ONCE, RepeatGroup.ALL, true)).engines("a", "b", "c");
+        r.ask(1, "load", "k", 100);
+        r.ask(2, "load", "k", 100);
+        r.on(new Gateway.ClientGone(1));
+        r.pass(500);
+        assertEquals(1, r.sends().size());
+        r.end(1, 0, r.sends().get(0).engine(), Outcome.SERVED, 10);
+        assertEquals(2, r.sends().size());
+    }
+
+    @Test
+    void aBoundClassIsHeldRatherThanSentElsewhere() {
+        Router r = Router.with(report(Set.of("small"), Set.of("z2")));
+        r.list(ListForm.WHOLE, Router.ready("a"), entry("b", "z1", "small", Phase.READY, 0),
+                entry("c", "z2", "big", Phase.READY, 0));
+        assertTrue(enginesOf(r.ask(1, "report", null, 100)).isEmpty());
+        r.list(ListForm.CHANGES, entry("d", "z2", "small", Phase.READY, 0));
+        assertEquals("d", r.sends().get(0).engine());
+    }
+
+    @Test
+    void furtherAttemptsStayWithinTheBudget() {
+        Limits budget = new Limits(0, 0, 0, 0, 0, 0, 1, 0.1, 60_000 * MS);
+        Router r = new Router(Router.settings(1, ALLOWED, budget, look("look"))).engines("a", "b", "c");
+        for (int i = 0; i < 20; i++) {
+            r.ask(i, "look", null, 10);
+            r.end(i, 0, r.sends().get(r.sends().size() - 1).engine(), Outcome.ERROR, 1);
+        }
+        long further = r.sends().size() - r.sends().stream().map(Send::id).distinct().count();
+        assertTrue(further > 0 && further <= 1 + 0.1 * 20, further + " further attempts");
+    }
+
+    @Test
+    void attemptsStayWithinTheirNumber() {
+        Allowed two = new Allowed(true, true, 2, 0, false, false, 1, true, 0, false, false, false);
+        Router r = new Router(Router.settings(1, two, LIMITS, look("look"))).engines("a", "b");
+        r.ask(1, "look", null, 10);
+        r.end(1, 0, r.sends().get(0).engine(), Outcome.ERROR, 1);
+        assertEquals(1, only(Refuse.class, r.end(1, 1, r.sends().get(1).engine(), Outcome.ERROR, 1)).size());
+        r.pass(2_000);
+        assertEquals(2, r.sends().size());
+    }
+}
--- /dev/null
+++ b/src/test/java/ashlink/drill/CodecTest.java
@@ -0,0 +1,124 @@
+package ashlink.drill;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ashlink.Gateway.Cancel;
+import ashlink.Gateway.Ended;
+import ashlink.Gateway.Fail;
+import ashlink.Gateway.Log;
+import ashlink.Gateway.Outcome;
+import ashlink.Gateway.Probe;
+import ashlink.Gateway.Refuse;
+import ashlink.Gateway.Report;
+import ashlink.Gateway.Request;
+import ashlink.Gateway.Send;
+import ashlink.Gateway.SetAlarm;
+import ashlink.Gateway.Subscribe;
+import ashlink.Gateway.Terms;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.StringReader;
+import java.io.StringWriter;
+import org.junit.jupiter.api.Test;
+
+/** The wire's lines in both directions, and what the adapter makes of whole batches. */
+class CodecTest {
+
+    private static final String START = "NEW_INSTANCE router-id=1 nonce64=9 balancers=2 position=0 zone=z "
+            + "classes.count=1 classes.0.name=q classes.0.promise-ns=500000000 classes.0.deadline-ns=3000000000 "
+            + "classes.0.effect=idempotent classes.0.gain=1 host-types=m extra.kind-cores=4 "
+            + "extra.ram-of-kind-mb=4096 ceilings.attempts-cap=3 some.new-setting=7";
+    private static final String LIST = "LIST list=2 lines=1\nM stripe=0 share=1 engine=h:1 phase=ready zone=z sku=m\n"
+            + "ANNOUNCE router-id=1 stamp=1 form=remembered list=2\n";
+
+    private static String play(String input) throws IOException {
+        StringWriter out = new StringWriter();
+        new Drill().run(new BufferedReader(new StringReader(input)), out);
+        return out.toString();
+    }
+
+    private static Object event(String line) {
+        return Codec.event(line.substring(0, line.indexOf(' ')), Fields.ofLine(line), true);
+    }
+
+    @Test
+    void readsARequest() {
+        assertEquals(new Request(5, "q", "k.1", 3, 900, 700, 12.5), event("INGRESS router-id=1 op-id=5 class=q "
+                + "relation=k.1 data-group=3 drop-dead-ns=900 guess-ns=700 want-mb=12.5 unheard-of=1"));
+    }
+
+    @Test
+    void readsAnOutcomeWithItsNoteAndReport() {
+        assertEquals(new Ended(5, 2, "h:1", Outcome.SERVED, 40, true, 17, 8, new Report(3, Double.NaN, 0.5, Double.NaN)),
+                event("RESOLVED op-id=5 shot=2 note=" + (17 * 4096 + 2) + " engine=h:1 verdict=delivered lag-ns=40 "
+                        + "complete=1 gauge=pending:3,x0:0.5,novel:9"));
+    }
+
+    @Test
+    void skipsMessagesThatConcernOthersAndRefusesBrokenOnes() {
+        assertNull(event("WHISPER router-id=1 neighbour=2 body=00"));
+        assertThrows(WireException.class, () -> event("FIRED router-id=1 label=soon"));
+        assertThrows(WireException.class, () -> event("PONG router-id=1 engine=h:1 verdict=perhaps"));
+        assertThrows(WireException.class, () -> event("FIRED label"));
+    }
+
+    @Test
+    void writesEveryAction() {
+        StringBuilder out = new StringBuilder();
+        Codec.write(4, new Send(1, "h:1", 80), out);
+        Codec.write(4, new Terms(1, 2, 640), out);
+        Codec.write(4, new Refuse(1, 250), out);
+        Codec.write(4, new Fail(1), out);
+        Codec.write(4, new Cancel(1, 0), out);
+        Codec.write(4, new Probe("h:1"), out);
+        Codec.write(4, new SetAlarm(7, 99), out);
+        Codec.write(4, new Subscribe(), out);
+        Codec.write(4, new Log("two engines"), out);
+        assertEquals("""
+                FORWARD router-id=4 op-id=1 timeout-ns=80 engine=h:1
+                LIMITS_FOR router-id=4 op-id=1 prio=2 mem-mb=640
+                REFUSE router-id=4 op-id=1 hold-off-ns=250
+                REPORT_FAILURE router-id=4 op-id=1
+                CALL_OFF router-id=4 op-id=1 shot=0
+                PING router-id=4 engine=h:1
+                SET_ALARM router-id=4 label=7 time-ns=99
+                TAIL router-id=4 enable=1
+                REMARK router-id=4 reason-text=two engines
+                """, out.toString());
+    }
+
+    @Test
+    void answersABatch() throws IOException {
+        String reply = play("SYNC moment-ns=0\nEND\n\nSYNC moment-ns=5000000\n" + START + "\n" + LIST
+                + "INGRESS router-id=1 op-id=5 class=q drop-dead-ns=3000000000\nEND\n");
+        assertTrue(reply.startsWith("OK\nSET_ALARM router-id=1"));
+        assertTrue(reply.contains("FORWARD router-id=1 op-id=5"));
+        assertTrue(reply.endsWith("engine=h:1\nOK\n"));
+    }
+
+    @Test
+    void namesABadSetting() throws IOException {
+        String noWorth = START.replace("classes.0.gain=1 ", "");
+        assertTrue(play("SYNC moment-ns=0\n" + noWorth + "\nEND\n").startsWith("BAIL_OUT router-id=1 reason-text="));
+        assertTrue(play("SYNC moment-ns=0\n" + noWorth + "\nEND\n").contains("classes.0.gain"));
+        assertTrue(play("SYNC moment-ns=0\n" + START.replace("balancers=2", "balancers=0") + "\nEND\n")
+                .contains("gateways"));
+    }
+
+    @Test
+    void namesTheLineThatCannotBeRead() {
+        WireException e = assertThrows(WireException.class, () -> play("SYNC moment-ns=0\nEND\nHELLO\n"));
+        assertTrue(e.getMessage().startsWith("line 3: "));
+        assertThrows(WireException.class, () -> play("SYNC moment-ns=0\n"));
+    }
+
+    @Test
+    void forgetsARetiredInstance() throws IOException {
+        String reply = play("SYNC moment-ns=5000000\n" + START + "\n" + LIST + "RETIRE router-id=1\n"
+                + "INGRESS router-id=1 op-id=5 class=q drop-dead-ns=3000000000\nEND\n");
+        assertTrue(!reply.contains("FORWARD"));
+    }
+}
