--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -15,8 +15,8 @@
 
 /**
  * The decisions of one gateway, in the order in which a query meets them: taken, held, released to the
- * lighter of two random engines within a bound on threads, watched, ended; then the feedback that moves the bounds, and
- * what is believed of the engines. docs/design.md tells why.
+ * lighter of two random engines within a bound on threads, watched, ended; then the feedback that moves the
+ * bounds, and what is believed of the engines. docs/design.md tells why.
  */
 public final class Rules implements Gateway {
 
@@ -401,7 +401,7 @@
 
     /**
      * The bound on threads binds only under pressure, and never an engine that runs none of ours. Guards
-     * against floods: gateways that hold queries see the same dip and would all fill one engine before it can tell.
+     * against floods: gateways that hold queries see the same dip and would all fill one engine at once.
      */
     private boolean hasRoom(Query q, Engine e) {
         boolean idle = e.running.isEmpty() && e.ghosts.isEmpty();
