A gateway's share is learnt from core reports

It should also hold against any uneven spread of clients; it hurts where reports show busy cores that are not ours to share, as then two gateways may both think the engine theirs.

--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -58,6 +58,7 @@
     private static final double GHOST_SHARE = 0.5;
     /** Weight of a new response time in an engine's mean: about the last ten queries. */
     private static final double MEAN_WEIGHT = 0.1;
+    private static final double SHARE_WEIGHT = 0.02;
     private static final double CLASS_WEIGHT = 0.02;
     /** Quantile of a class's response times taken as its usual one, and the step of its tracker in logs. */
     private static final double USUAL_QUANTILE = 0.25;
@@ -126,7 +127,6 @@
         final double memoryMb;
         long seq;
         double worth;
-        boolean held;
         boolean over;
         Engine out;                      // engine of the attempt that is out
         int attempts;
@@ -167,7 +167,7 @@
 
     private record ColdSend(long atNs, double workMs) { }
 
-    private record Ghost(long untilNs, int threads, double workMs) { }
+    private record Ghost(long untilNs, Query of) { }
 
     private static final class Engine {
         final String name;
@@ -184,8 +184,7 @@
         final ArrayDeque<Ghost> ghosts = new ArrayDeque<>();
         int threads;
         double workMs;
-        double seed;
-        double bound;
+        double moved;                    // threads by which feedback moved the bound from its seed
         double lastStep;
         long periodStartNs;
         int completions;
@@ -193,7 +192,6 @@
         double lastThroughput;
         double lastResponseNs;
         boolean periodHeld;
-        boolean periodFull;
         double slowLog;                  // mean log of response time over the usual
         long fullNs = Long.MIN_VALUE / 2;
         Report report = Report.NONE;
@@ -223,6 +221,7 @@
     private List<Action> out = new ArrayList<>();
     private boolean loads;
     private boolean readersWait;
+    private double share;                // learnt share of what keeps the engines busy
     private boolean ticking;
     private long sequence;
     private long now;
@@ -291,23 +290,11 @@
         if (line != null) {
             line.waiting.add(q);
         }
-        hold(q);
+        held.add(q);
         release();
         answerIfDue(q);
     }
 
-    private void hold(Query q) {
-        q.held = true;
-        held.add(q);
-    }
-
-    private void unhold(Query q) {
-        if (q.held) {
-            held.remove(q);
-            q.held = false;
-        }
-    }
-
     /** Highest worth first; among equals the one taken first. */
     private static int releaseOrder(Query a, Query b) {
         int byWorth = Double.compare(b.worth, a.worth);
@@ -325,7 +312,7 @@
             if (e == null) {
                 full.add(q.cls);
             } else {
-                unhold(q);
+                held.remove(q);
                 send(q, e);
             }
         }
@@ -385,15 +372,12 @@
                 ready.add(e);
             }
         }
-        ready.sort(Comparator.comparingLong((Engine e) -> mix(e.name.hashCode() * 31L + tables))
-                .thenComparing(e -> e.name));
+        Map<Engine, Long> rank = new HashMap<>();
+        ready.forEach(e -> rank.put(e, new SplittableRandom(31L * e.name.hashCode() + tables).nextLong()));
+        ready.sort(Comparator.comparingLong((Engine e) -> rank.get(e)).thenComparing(e -> e.name));
         return ready.subList(0, (int) Math.ceil(LOAD_HOMES * ready.size()));
     }
 
-    private static long mix(long x) {
-        return new SplittableRandom(x).nextLong();
-    }
-
     /** Estimated work of ours that runs there, with this query, by core. */
     private double load(Engine e, Query q) {
         return (e.workMs + q.workMs) / e.cores;
@@ -405,9 +389,9 @@
      */
     private boolean hasRoom(Query q, Engine e) {
         boolean idle = e.running.isEmpty() && e.ghosts.isEmpty();
-        double limit = pressed(e) ? e.bound : Math.max(e.bound, FLOOD * e.seed);
+        double limit = pressed(e) ? bound(e) : Math.max(bound(e), FLOOD * seed(e));
         if (brief(q)) {
-            limit += BRIEF_LANE * e.seed;
+            limit += BRIEF_LANE * seed(e);
         }
         boolean room = now - e.fullNs >= FULL_PAUSE_NS && (idle || e.threads < limit);
         if (!room) {
@@ -416,6 +400,30 @@
         return room;
     }
 
+    private double bound(Engine e) {
+        return Math.max(1, seed(e) + e.moved);
+    }
+
+    private double seed(Engine e) {
+        return Math.max(1, SEED_THREADS * e.cores * Math.max(share, 1.0 / settings.gateways()));
+    }
+
+    /**
+     * Guards a gateway with far more traffic than the others against an equal share: where reports tell how
+     * busy the cores are, its share is that of its own threads in what keeps them busy.
+     */
+    private void learnShare() {
+        double own = 0;
+        double busy = 0;
+        for (Engine e : engines.values()) {
+            if (e.listed && now - e.reportNs < FRESH_NS && e.report.coresBusy() > 0) {
+                own += e.threads;
+                busy += e.report.coresBusy() * e.cores * SEED_THREADS;
+            }
+        }
+        share += SHARE_WEIGHT * ((busy > 0 ? Math.min(1, own / busy) : 0) - share);
+    }
+
     /** Guards brief queries against waiting for room behind long ones: the paper's case for more room. */
     private boolean brief(Query q) {
         double longest = 0;
@@ -595,8 +603,6 @@
         }
         Engine ran = q.out;
         ran.running.remove(q);
-        ran.threads -= q.cls.spec.threads();
-        ran.workMs -= q.workMs;
         q.out = null;
         if (e.outcome() == Outcome.SERVED) {
             learn(q, ran, e);
@@ -609,9 +615,10 @@
         if (q.line != null && mayStillRun) {
             q.line.restUntilNs = now + limits.keyRestNs();
         }
-        if (mayStillRun && !allowed.cancels()) {
-            haunt(ran, q);
-        }
+        // Guards against an engine that looks idle while it still works on what was given up there.
+        boolean haunts = mayStillRun && !allowed.cancels();
+        ran.ghosts.add(new Ghost(haunts ? now + (long) (GHOST_SHARE * (now - q.sentNs)) : now, q));
+        layGhosts(ran);
         q.over |= e.over();
         if (!q.over) {
             again(q);
@@ -622,30 +629,21 @@
         release();
     }
 
-    /** Guards against an engine that looks idle while it still works on what was given up there. */
-    private void haunt(Engine e, Query q) {
-        Ghost g = new Ghost(now + (long) (GHOST_SHARE * (now - q.sentNs)), q.cls.spec.threads(), q.workMs);
-        e.ghosts.add(g);
-        e.threads += g.threads();
-        e.workMs += g.workMs();
-    }
-
     private void layGhosts(Engine e) {
-        e.ghosts.removeIf(g -> {
-            boolean laid = now >= g.untilNs();
-            if (laid) {
-                e.threads -= g.threads();
-                e.workMs -= g.workMs();
+        for (Ghost g : List.copyOf(e.ghosts)) {
+            if (now >= g.untilNs()) {
+                e.ghosts.remove(g);
+                e.threads -= g.of().cls.spec.threads();
+                e.workMs -= g.of().workMs;
             }
-            return laid;
-        });
+        }
     }
 
     /** Another attempt where the rules allow one and time is left, else the final answer. */
     private void again(Query q) {
         boolean repeatable = q.mayHaveRunOn == null || q.cls.spec.effect() != Effect.AT_MOST_ONCE;
         if (repeatable && q.attempts < allowed.attempts() && now + ANSWER_NS < q.deadlineNs) {
-            hold(q);
+            held.add(q);
         } else {
             answer(q);
         }
@@ -653,14 +651,14 @@
 
     /** Guards against answers after the client's time, also for a query whose time is short on arrival. */
     private void answerIfDue(Query q) {
-        if (q.held && now + ANSWER_NS >= q.deadlineNs) {
+        if (held.contains(q) && now + ANSWER_NS >= q.deadlineNs) {
             answer(q);
         }
     }
 
     /** The one finish path: refuses where that is harmless, else fails; at once, with retry advice. */
     private void answer(Query q) {
-        unhold(q);
+        held.remove(q);
         q.over = true;
         boolean harmless = q.out == null && (q.mayHaveRunOn == null
                 || q.cls.spec.effect() == Effect.IDEMPOTENT
@@ -674,7 +672,7 @@
         if (!q.over || q.out != null) {
             return;
         }
-        unhold(q);
+        held.remove(q);
         queries.remove(q.id);
         if (q.line != null) {
             q.line.waiting.remove(q);
@@ -690,7 +688,7 @@
             cancel(q); // the work would serve nobody
         }
         q.over = true;
-        unhold(q);
+        held.remove(q);
         forget(q);
         release();
     }
@@ -732,15 +730,14 @@
         e.responseSumNs = 0;
         e.periodStartNs = now;
         e.periodHeld = false;
-        e.periodFull = false;
     }
 
     /** While queries are held: a step up stays only if throughput gained; else the bound drifts down. */
     private void step(Engine e, double throughput, double response) {
-        double size = Math.max(1, STEP_SHARE * e.seed);
+        double size = Math.max(1, STEP_SHARE * seed(e));
         boolean outwait = heldOutwaitAims();
         boolean slower = e.lastResponseNs > 0 && response > e.lastResponseNs * (1 + THRESHOLD);
-        boolean mayFall = !outwait && !slower && (e.bound - size >= e.seed || e.periodFull);
+        boolean mayFall = !outwait && !slower && (e.moved >= size || e.fullNs >= e.periodStartNs);
         if (e.periodHeld) {
             boolean gained = throughput > e.lastThroughput * (1 + THRESHOLD);
             if (e.lastStep > 0 && !gained) {
@@ -755,7 +752,7 @@
     }
 
     private void move(Engine e, double by) {
-        e.bound = Math.max(1, e.bound + by);
+        e.moved = Math.max(1 - seed(e), e.moved + by);
         e.lastStep = by;
     }
 
@@ -790,7 +787,6 @@
             case TURNED_AWAY -> {
                 heard(e);
                 e.fullNs = now;
-                e.periodFull = true;
             }
             case NO_CONNECTION, RESET -> {
                 e.avoidNs = Math.min(AVOID_MOST_NS, Math.max(AVOID_NS, 2 * e.avoidNs));
@@ -854,8 +850,7 @@
             }
         }
         if (restarted) {
-            e.seed = Math.max(1, SEED_THREADS * e.cores / settings.gateways());
-            e.bound = e.seed;
+            e.moved = 0;
             e.slowLog = 0;
             e.avoidUntilNs = Long.MIN_VALUE;
             e.avoidNs = 0;
@@ -866,16 +861,17 @@
     // ---- House-keeping
     private void tick() {
         out.add(new SetAlarm(TICK_LABEL, now + TICK_NS));
+        learnShare();
         boolean contended = contended();
         for (Query q : List.copyOf(held)) {
             answerIfDue(q);
             boolean late = now + q.usualNs() >= q.aimNs();
-            if (q.held && late && (contended || q.cls.spec.lateShare() == 0)) {
+            if (held.contains(q) && late && (contended || q.cls.spec.lateShare() == 0)) {
                 answer(q); // given up for those that can still be in time
-            } else if (q.held && late && q.worth == q.cls.spec.worth()) {
-                unhold(q);
+            } else if (held.contains(q) && late && q.worth == q.cls.spec.worth()) {
+                held.remove(q);
                 q.worth = q.cls.spec.worth() * q.cls.spec.lateShare();
-                hold(q);
+                held.add(q);
             }
         }
         for (Engine e : engines.values()) {
--- a/src/test/java/ashlink/MechanismTest.java
+++ b/src/test/java/ashlink/MechanismTest.java
@@ -269,4 +269,20 @@
         assertTrue(terms.get(100).memoryMb() > first);
         assertTrue(terms.get(100).memoryMb() <= 0.4 * 8_000);
     }
+
+    @Test
+    void aGatewayThatKeepsTheEnginesBusyAloneGetsMoreThanAnEqualShare() {
+        Router r = new Router(Router.settings(6, ALLOWED, LIMITS, report(Set.of(), Set.of()))).engines("a");
+        Report half = new Report(0, 0.5, 0.5, Double.NaN);
+        r.on(new Probed("a", Outcome.SERVED, MS, half));
+        r.ask(1, "report", null, 20_000);
+        for (int i = 0; i < 50; i++) {
+            r.pass(100);
+            r.on(new Probed("a", Outcome.SERVED, MS, half));
+        }
+        for (int i = 2; i < 20; i++) {
+            r.ask(i, "report", null, 20_000);
+        }
+        assertTrue(r.sends().size() > 3, r.sends().size() + " sent"); // an equal share floods up to two threads
+    }
 }
