--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -697,10 +697,8 @@
     private void learn(Query q, Engine e, Ended end) {
         double stretch = Math.log(Math.max(1e-3,
                 end.tookNs() / (double) MS * q.cls.spec.threads() / Math.max(1e-3, q.estimateMs)));
-        if (stretch < q.cls.usualLog) {
-            q.cls.usualLog -= USUAL_STEP * (1 - USUAL_QUANTILE);
-        } else if (!pressed(e)) { // a jam must not become the usual
-            q.cls.usualLog += USUAL_STEP * USUAL_QUANTILE;
+        if (!pressed(e)) { // a jam must not become the usual, nor the lucky ones that pass it
+            q.cls.usualLog += USUAL_STEP * (stretch < q.cls.usualLog ? USUAL_QUANTILE - 1 : USUAL_QUANTILE);
         }
         e.slowLog += MEAN_WEIGHT * (stretch - q.cls.usualLog - e.slowLog);
         e.completions++;
