Among equal worth the shortest held query leaves first

It should also hold against bouts of costly queries; it hurts the longest queries of a class, which wait for a lull.

--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -295,10 +295,11 @@
         answerIfDue(q);
     }
 
-    /** Highest worth first; among equals the one taken first. */
+    /** Highest worth first; among equals the one with least work, which lets most of them be in time. */
     private static int releaseOrder(Query a, Query b) {
         int byWorth = Double.compare(b.worth, a.worth);
-        return byWorth != 0 ? byWorth : Long.compare(a.seq, b.seq);
+        int byWork = Double.compare(a.workMs, b.workMs);
+        return byWorth != 0 ? byWorth : byWork != 0 ? byWork : Long.compare(a.seq, b.seq);
     }
 
     /** Releases held queries in order; a class that found no room is not tried further in this round. */
--- a/src/test/java/ashlink/MechanismTest.java
+++ b/src/test/java/ashlink/MechanismTest.java
@@ -87,6 +87,16 @@
         assertEquals(List.of(3L, 2L, 1L), r.sends().stream().map(Send::id).toList());
     }
 
+    @Test
+    void amongEqualWorthTheShortestLeavesFirst() {
+        Router r = reports();
+        r.ask(1, "report", null, 3_000);
+        r.ask(2, "report", null, 1_000);
+        r.ask(3, "report", null, 2_000);
+        r.engines("a");
+        assertEquals(List.of(2L, 3L, 1L), r.sends().stream().map(Send::id).toList());
+    }
+
     @Test
     void theLighterOfTwoEnginesIsChosen() {
         Router r = reports("a", "b");
