--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -53,6 +53,8 @@
     private static final double FLOOD = 2;
     /** Work of ours a core, in milliseconds, that weighs as much as a busy core in a report. */
     private static final double OWN_WORK_MS = 1_000;
+    /** Share of the engines with fresh news up to which those under pressure are few. */
+    private static final double CALM = 0.3;
     /** Share of the longest class's work that makes a query brief, and its further room in seeds. */
     private static final double BRIEF_SHARE = 0.2;
     private static final double BRIEF_LANE = 1.0;
@@ -89,7 +91,7 @@
     private static final long STALE_NS = 500 * MS;
     private static final long SCOUT_NS = 20 * MS;
     /** Probes earned by a query taken, and the most saved up: probes must not outgrow the queries. */
-    private static final double PROBES_PER_QUERY = 2;
+    private static final double PROBES_PER_QUERY = 1;
     private static final double PROBES_A_TICK = 0.05;
     private static final double PROBES_SAVED = 20;
     /** Periods of notes, or usual times where none come, without a sign of an engine that make it silent. */
@@ -136,6 +138,7 @@
     private double slowLog;              // as an engine's, over all of them
     private double share;                // learnt share of what keeps the engines busy
     private double probes = PROBES_SAVED;
+    private boolean calm = true;         // few engines are under pressure
     private boolean ticking;
     private long sequence;
     private long now;
@@ -286,7 +289,7 @@
         if (!allowed.probes() || pair.stream().noneMatch(this::stale)) {
             return false;
         }
-        if (probes < pair.size()) {
+        if (probes < (brief(q) ? PROBES_SAVED / 2 : pair.size())) {
             return !brief(q); // held: the news that it needs must be earned
         }
         for (Engine e : pair) {
@@ -327,8 +330,7 @@
      * same engines, load it there and read it elsewhere, without a word between them.
      */
     private List<Engine> homes(long tables) {
-        List<Engine> ready = new ArrayList<>(engines.values());
-        ready.removeIf(e -> !ready(e));
+        List<Engine> ready = ready();
         ready.sort(Comparator.comparingLong((Engine e) -> new SplittableRandom(
                 31L * e.name.hashCode() + tables).nextLong()).thenComparing(e -> e.name));
         return ready.subList(0, (int) Math.ceil(LOAD_HOMES * ready.size()));
@@ -356,7 +358,7 @@
         }
         boolean line = !stale(e) && e.report.waiting() > LINE_A_CORE * e.cores && !brief(q);
         boolean room = now - e.fullNs >= FULL_PAUSE_NS && !line && (b.threads == 0 || b.threads < limit
-                || b == pool && (brief(q) && allowed.priorities() || fresh(e) && !pressed(e)));
+                || b == pool && (brief(q) && allowed.priorities() || calm && fresh(e) && !pressed(e)));
         b.periodHeld |= !room;
         return room;
     }
@@ -371,16 +373,9 @@
 
     /** Guards against many gateways whose floors of one thread an engine add up: then one bound over all. */
     private void allotBounds() {
-        int cores = 0;
-        int ready = 0;
-        for (Engine e : engines.values()) {
-            if (ready(e)) {
-                cores += e.cores;
-                ready++;
-            }
-        }
-        pool.cores = cores;
-        boolean pooled = SEED_THREADS * cores < (double) settings.gateways() * ready;
+        List<Engine> ready = ready();
+        pool.cores = ready.stream().mapToInt(e -> e.cores).sum();
+        boolean pooled = SEED_THREADS * pool.cores < (double) settings.gateways() * ready.size();
         pool.threads = 0;
         for (Engine e : engines.values()) {
             pool.threads += e.threads;
@@ -408,6 +403,8 @@
             }
         }
         share += SHARE_WEIGHT * ((busy > 0 ? Math.min(1, own / busy) : 0) - share);
+        long known = engines.values().stream().filter(this::fresh).count();
+        calm = engines.values().stream().filter(e -> fresh(e) && pressed(e)).count() <= CALM * known;
     }
 
     /** Guards brief queries against waiting for room behind long ones: the paper's case for more room. */
@@ -456,6 +453,12 @@
         return e.entry != null && e.entry.phase() == Phase.READY;
     }
 
+    private List<Engine> ready() {
+        List<Engine> ready = new ArrayList<>(engines.values());
+        ready.removeIf(e -> !ready(e));
+        return ready;
+    }
+
     private boolean hasTurn(Query q) {
         return q.line == null
                 || q.line.waiting.peek() == q && (q.attempts > 0 || now >= q.line.restUntilNs);
@@ -679,11 +682,9 @@
 
     /** The one finish path: refuses where that is harmless, else fails; at once, with retry advice. */
     private void answer(Query q) {
-        held.remove(q);
         q.over = true;
-        boolean harmless = q.out == null && (q.mayHaveRunOn == null
-                || q.cls.spec.effect() == Effect.IDEMPOTENT
-                || q.cls.spec.effect() == Effect.DEDUPLICATED && q.cls.spec.repeatGroup() == RepeatGroup.ALL);
+        boolean harmless = q.mayHaveRunOn == null || q.cls.spec.effect() == Effect.IDEMPOTENT
+                || q.cls.spec.effect() == Effect.DEDUPLICATED && q.cls.spec.repeatGroup() == RepeatGroup.ALL;
         out.add(harmless ? new Refuse(q.id, allowed.longestRetryAfterNs()) : new Fail(q.id));
         forget(q);
     }
@@ -707,7 +708,6 @@
                 cancel(q); // the work would serve nobody
             }
             q.over = true;
-            held.remove(q);
             forget(q);
             release();
         }
@@ -772,7 +772,7 @@
     }
 
     private void move(Bound b, double by) {
-        b.moved = Math.max(1 - seed(b), b.moved + by);
+        b.moved = Math.max(1 - seed(b), Math.min((FLOOD - 1) * seed(b), b.moved + by));
         b.lastStep = by;
     }
 
