--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -111,8 +111,6 @@
     /** Times its grant that a spilling query must lack, and share of its time run, to start again. */
     private static final double SHORT_GRANT = 1.3;
     private static final double EARLY = 0.2;
-    /** Work in milliseconds assumed where nothing is told or learnt yet. */
-    private static final double UNKNOWN_WORK_MS = 100;
     private static final long TICK_LABEL = 1;
     private static final long SCOUT_LABEL = 2;
     /** Outcomes after which the engine may still work on the attempt. */
@@ -220,7 +218,12 @@
     }
 
     private static double knownMs(ClassFacts c) {
-        return c.estimates > 0 ? c.meanEstimateMs : UNKNOWN_WORK_MS;
+        return c.estimates > 0 ? c.meanEstimateMs : priorMs(c);
+    }
+
+    /** Work of a class of which nothing was seen yet, on the safe side: with more, all would be late. */
+    private static double priorMs(ClassFacts c) {
+        return (double) c.spec.aimNs() / MS * c.spec.threads();
     }
 
     /** Highest worth first; among equals the one with least work, which lets most of them be in time. */
@@ -270,13 +273,10 @@
             q.scouted = List.of();
         }
         int n = candidates.size();
-        if (n == 0) {
-            return null;
-        }
-        Engine first = candidates.remove(random.nextInt(n));
-        Engine second = n == 1 ? first : candidates.get(random.nextInt(n - 1));
-        if (!scouted && n > 1 && scout(q, List.of(first, second))) {
-            return null;
+        Engine first = n == 0 ? null : candidates.remove(random.nextInt(n));
+        Engine second = n < 2 ? first : candidates.get(random.nextInt(n - 1));
+        if (n < 2 || !scouted && scout(q, List.of(first, second))) {
+            return n == 1 ? first : null;
         }
         if (first.probing != second.probing) {
             return first.probing ? second : first;
@@ -492,10 +492,13 @@
             e.coldNextNs = Double.isNaN(e.coldNextNs) ? now - COLD_BURST * window : e.coldNextNs;
             return now >= e.coldNextNs + gap;
         }
-        if (Double.isNaN(e.coldNextNs) || now > e.coldNextNs + window) {
+        if (gap * COLD_PARTS >= window * settings.gateways()) {
+            return false;
+        }
+        if (!(now <= e.coldNextNs + window && e.coldNextNs <= now + gap)) {
             e.coldNextNs = now + random.nextDouble() * gap;
         }
-        return now >= e.coldNextNs && gap * COLD_PARTS < window * settings.gateways();
+        return now >= e.coldNextNs;
     }
 
     /** Time in which our share of what the engine bears while cold adds up to one query of the class. */
@@ -504,10 +507,9 @@
                 / (COLD_MARGIN * limits.coldMultiple() * limits.coldFrom() * e.cores * CAPACITY);
     }
 
-    /** Usual work, on the safe side while few queries were seen: work as long as the aim comes late. */
+    /** Usual work, on the safe side while few queries were seen. */
     private static double heavyMs(ClassFacts c) {
-        double prior = (double) c.spec.aimNs() / MS * c.spec.threads();
-        return (FEW * prior + c.estimates * usualMs(c)) / (FEW + c.estimates);
+        return (FEW * priorMs(c) + c.estimates * usualMs(c)) / (FEW + c.estimates);
     }
 
     private boolean cold(Engine e) {
--- /dev/null
+++ b/src/test/java/ashlink/ManyGatewaysTest.java
@@ -0,0 +1,260 @@
+package ashlink;
+
+import static ashlink.Router.ALLOWED;
+import static ashlink.Router.LIMITS;
+import static ashlink.Router.MS;
+import static ashlink.Router.enginesOf;
+import static ashlink.Router.entry;
+import static ashlink.Router.look;
+import static ashlink.Router.only;
+import static ashlink.Router.report;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ashlink.Gateway.Allowed;
+import ashlink.Gateway.Cancel;
+import ashlink.Gateway.Limits;
+import ashlink.Gateway.ListForm;
+import ashlink.Gateway.NoteKind;
+import ashlink.Gateway.Outcome;
+import ashlink.Gateway.Phase;
+import ashlink.Gateway.Probe;
+import ashlink.Gateway.Probed;
+import ashlink.Gateway.Progress;
+import ashlink.Gateway.Report;
+import ashlink.Gateway.Send;
+import ashlink.Gateway.Settings;
+import ashlink.Gateway.Terms;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** What holds where a gateway sees little: a few queries a second, a fraction of a thread an engine. */
+class ManyGatewaysTest {
+
+    private static final int GATEWAYS = 200;
+    private static final Report BUSY = new Report(1, 1, 1, 1);
+    private static final Allowed NO_PRIORITIES = new Allowed(true, true, 4, 500 * MS, true, false, 0.4, true,
+            1_000 * MS, false, false, false);
+
+    private static Settings settings(int gateways, int position, Allowed allowed, Limits limits) {
+        return new Settings(7 + position, gateways, position, "z1", List.of(look("look"), report(Set.of(), Set.of())),
+                List.of(new Gateway.EngineKind("big", 8, 8_000)), allowed, limits);
+    }
+
+    private static String[] fleet(int engines) {
+        String[] names = new String[engines];
+        for (int i = 0; i < engines; i++) {
+            names[i] = "e" + i;
+        }
+        return names;
+    }
+
+    private static Router router(int gateways, int position, int engines) {
+        return new Router(settings(gateways, position, NO_PRIORITIES, LIMITS)).engines(fleet(engines));
+    }
+
+    @Test
+    void underPressureAllGatewaysTogetherStayNearTheDesignsLevel() {
+        int threads = 0;
+        for (int g = 0; g < GATEWAYS; g++) {
+            Router r = router(GATEWAYS, g, 4);
+            for (String e : fleet(4)) {
+                r.reports.put(e, BUSY);
+            }
+            for (int i = 0; i < 10; i++) {
+                r.ask(i, "report", null, 1_000);
+            }
+            r.pass(400);
+            threads += 2 * r.outstanding.size();
+            assertFalse(r.outstanding.isEmpty(), "a gateway that runs nothing gets one query in");
+        }
+        // Four engines of eight cores at 1.5 threads are 48; the floor is one query a gateway, not one an engine.
+        assertEquals(2 * GATEWAYS, threads);
+    }
+
+    @Test
+    void aGatewayWithALargeShareKeepsOneBoundAnEngine() {
+        Router r = router(1, 0, 2);
+        for (String e : fleet(2)) {
+            r.reports.put(e, BUSY);
+        }
+        for (int i = 0; i < 40; i++) {
+            r.ask(i, "report", null, 1_000);
+        }
+        r.pass(2_000); // probes are earned
+        assertEquals(12, r.outstanding.size()); // 1.5 threads x 8 cores on each of two engines, two threads each
+    }
+
+    @Test
+    void aFewEnginesUnderPressureLeaveTheOthersOpen() {
+        Router r = router(GATEWAYS, 0, 10);
+        r.reports.put("e0", BUSY);
+        for (int i = 0; i < 8; i++) {
+            r.ask(i, "report", null, 1_000);
+            r.pass(100);
+        }
+        assertEquals(8, r.outstanding.size());
+    }
+
+    @Test
+    void aBlindChoiceAsksBothCandidatesAndTakesTheLighter() {
+        Router r = router(GATEWAYS, 0, 2);
+        r.reports.put("e0", new Report(0, 0.9, Double.NaN, Double.NaN));
+        r.reports.put("e1", new Report(0, 0.2, Double.NaN, Double.NaN));
+        List<Gateway.Action> decided = r.ask(1, "report", null, 1_000);
+        assertEquals(2, only(Probe.class, decided).size());
+        assertEquals(List.of("e1"), enginesOf(decided));
+    }
+
+    @Test
+    void freshNewsIsNotAskedForAgain() {
+        Router r = router(GATEWAYS, 0, 2);
+        r.ask(1, "report", null, 1_000);
+        assertTrue(only(Probe.class, r.ask(2, "report", null, 1_000)).isEmpty());
+    }
+
+    @Test
+    void aCandidateThatDoesNotAnswerInTimeIsPassedOver() {
+        Router r = router(GATEWAYS, 0, 2);
+        r.mute.add("e0");
+        assertTrue(enginesOf(r.ask(1, "report", null, 1_000)).isEmpty());
+        assertEquals(List.of("e1"), enginesOf(r.pass(25)));
+    }
+
+    @Test
+    void probesDoNotOutgrowTheQueries() {
+        Router r = router(GATEWAYS, 0, 40);
+        for (int i = 0; i < 200; i++) {
+            r.ask(i, "look", null, 50);
+            r.pass(300);
+            r.serve(1, 50);
+        }
+        int probes = only(Probe.class, r.actions).size();
+        assertTrue(probes > 20 && probes <= 20 + 200 + 60, probes + " probes"); // saved, by query, by second
+        assertEquals(200, r.sends().size());
+    }
+
+    /** Work in milliseconds that all gateways together send a cold engine in its worst window. */
+    private static double worstWindow(List<long[]> sends, long windowNs) {
+        double worst = 0;
+        for (long[] first : sends) {
+            double sum = 0;
+            for (long[] s : sends) {
+                sum += s[0] >= first[0] && s[0] < first[0] + windowNs ? s[1] : 0;
+            }
+            worst = Math.max(worst, sum);
+        }
+        return worst;
+    }
+
+    @Test
+    void aColdEngineGetsWorkFromManyGatewaysButLessThanItBears() {
+        List<long[]> sends = new ArrayList<>();
+        for (int g = 0; g < GATEWAYS; g++) {
+            Router r = router(GATEWAYS, g, 3);
+            long start = r.now;
+            r.list(ListForm.CHANGES, entry("e0", "z1", "big", Phase.READY, start));
+            for (int i = 0; i < 30; i++) { // three queries a second, one in five of them long
+                boolean brief = i % 5 != 0;
+                r.ask(i, brief ? "look" : "report", null, 1, brief ? 100 : 3_000, brief ? 2_500 : 20_000);
+                for (Send s : List.copyOf(r.outstanding.values())) {
+                    if (s.engine().equals("e0")) {
+                        sends.add(new long[] {r.now, s.id() % 5 != 0 ? 100 : 3_000});
+                    }
+                }
+                r.serve(10, 100);
+                r.pass(310);
+            }
+        }
+        double bears = 3 * 0.3 * 8 * 0.85 * 2_000;
+        assertTrue(sends.size() > 50, sends.size() + " sent to it while cold");
+        assertTrue(worstWindow(sends, 2_000 * MS) < bears, worstWindow(sends, 2_000 * MS) + " of " + bears);
+        assertTrue(sends.stream().allMatch(s -> s[1] == 100), "a long query got in by chance");
+    }
+
+    @Test
+    void withoutFactsOfItsClassesAGatewaySendsAColdEngineNothingLong() {
+        for (int g = 0; g < 40; g++) {
+            Router r = new Router(settings(GATEWAYS, g, NO_PRIORITIES, LIMITS));
+            r.list(ListForm.REMEMBERED, entry("cold", "z1", "big", Phase.READY, r.now - MS));
+            r.ask(1, "report", null, 1, 50, 5_000); // looks brief, its class is not
+            r.pass(4_000);
+            assertTrue(r.sends().isEmpty());
+        }
+    }
+
+    @Test
+    void aSpillToldAtTheStartRestartsTheQueryWithItsTrueNeed() {
+        Router r = router(1, 0, 2);
+        String engine = enginesOf(r.ask(1, "report", null, 1_000)).get(0);
+        List<Gateway.Action> decided = r.on(new Progress(1, 0, engine, NoteKind.SPILLS_MB, 900));
+        assertEquals(List.of(new Cancel(1, 0)), only(Cancel.class, decided));
+        long first = only(Terms.class, r.actions).get(0).memoryMb();
+        long second = only(Terms.class, r.end(1, 0, engine, Outcome.CANCELLED, 10)).get(0).memoryMb();
+        assertTrue(second >= first + 900, second + " MB");
+        assertTrue(only(Terms.class, r.ask(2, "report", null, 1_000)).get(0).memoryMb() >= first + 900);
+    }
+
+    @Test
+    void aSmallSpillOrALateOneIsLeftAlone() {
+        Router r = router(1, 0, 2);
+        String engine = enginesOf(r.ask(1, "report", null, 1_000)).get(0);
+        assertTrue(only(Cancel.class, r.on(new Progress(1, 0, engine, NoteKind.SPILLS_MB, 10))).isEmpty());
+        r.pass(500);
+        assertTrue(only(Cancel.class, r.on(new Progress(1, 0, engine, NoteKind.SPILLS_MB, 900))).isEmpty());
+    }
+
+    @Test
+    void waitingForMemoryIsNoBadPlan() {
+        Router r = router(1, 0, 2);
+        String engine = enginesOf(r.ask(1, "report", null, 1_000)).get(0);
+        for (int i = 0; i < 5; i++) {
+            r.pass(1_000);
+            r.on(new Progress(1, 0, engine, NoteKind.WAITS, 1));
+        }
+        r.pass(200);
+        assertTrue(only(Cancel.class, r.on(new Progress(1, 0, engine, NoteKind.SHARE_DONE, 0.2))).isEmpty());
+    }
+
+    @Test
+    void aMemoryLineClosesAnEngineToLongQueriesOnly() {
+        Router r = router(1, 0, 1);
+        r.on(new Probed("e0", Outcome.SERVED, MS, new Report(6, 0.5, 0.5, Double.NaN)));
+        r.reports.put("e0", new Report(6, 0.5, 0.5, Double.NaN));
+        r.ask(1, "report", null, 3_000);
+        assertTrue(r.sends().isEmpty());
+        r.ask(2, "look", null, 50);
+        assertEquals(List.of(2L), r.sends().stream().map(Send::id).toList());
+    }
+
+    @Test
+    void whatIsOverdueThereMakesAnEngineHeavyForTheNext() {
+        Router r = router(GATEWAYS, 0, 2);
+        String slow = enginesOf(r.ask(1, "look", null, 50)).get(0);
+        r.pass(1_000);
+        Set<String> next = new HashSet<>();
+        for (int i = 2; i < 12; i++) {
+            next.addAll(enginesOf(r.ask(i, "look", null, 50)));
+            r.end(i, 0, r.sends().get(i - 1).engine(), Outcome.SERVED, 50);
+        }
+        assertFalse(next.contains(slow));
+    }
+
+    @Test
+    void anEngineIsNotCalledSlowForLongOnceItIsLeftAlone() {
+        Router r = router(GATEWAYS, 0, 2);
+        String slow = enginesOf(r.ask(1, "look", null, 50)).get(0);
+        r.end(1, 0, slow, Outcome.SERVED, 2_000);
+        r.pass(60_000);
+        Set<String> next = new HashSet<>();
+        for (int i = 2; i < 30; i++) {
+            next.addAll(enginesOf(r.ask(i, "look", null, 50)));
+            r.end(i, 0, r.sends().get(i - 1).engine(), Outcome.SERVED, 50);
+        }
+        assertTrue(next.contains(slow));
+    }
+}
