Free classes weigh the kinds that bound classes need half as much again

Told from slow engines: all engines of the kind alike. Should also hold where a kind is scarce by failures; might hurt where the free kinds are few and slow.

--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -55,6 +55,8 @@
     private static final double OWN_WORK_MS = 1_000;
     /** Share of the engines with fresh news up to which those under pressure are few. */
     private static final double CALM = 0.3;
+    /** Weight for free classes of engines of the kinds that bound classes need. */
+    private static final double WANTED = 1.5;
     /** Share of the longest class's work that makes a query brief, and its further room in seeds. */
     private static final double BRIEF_SHARE = 0.2;
     private static final double BRIEF_LANE = 1.0;
@@ -131,8 +133,8 @@
     private final ArrayDeque<Long> resent = new ArrayDeque<>();
     private List<Action> out = new ArrayList<>();
     private final Bound pool = new Bound();
-    private boolean loads;
-    private boolean readersWait;
+    private final Set<String> boundKinds = new HashSet<>();
+    private final boolean apart;         // loads and readers of a group keep to different engines
     private double slowLog;              // as an engine's, over all of them
     private double share;                // learnt share of what keeps the engines busy
     private double probes = PROBES_SAVED;
@@ -147,10 +149,11 @@
         this.limits = settings.limits();
         this.allowed = settings.allowed();
         this.random = new SplittableRandom(settings.seed());
+        this.apart = settings.classes().stream().anyMatch(QueryClass::holdsTables)
+                && settings.classes().stream().anyMatch(QueryClass::waitsForTables);
         for (QueryClass c : settings.classes()) {
             classes.put(c.name(), new ClassFacts(c));
-            loads |= c.holdsTables();
-            readersWait |= c.waitsForTables();
+            boundKinds.addAll(c.kinds());
         }
     }
 
@@ -316,11 +319,11 @@
 
     /** Narrows the candidates to those that keep loads and readers apart, where any of them is left. */
     private void prefer(Query q, List<Engine> candidates) {
-        if (loads && readersWait && (q.cls.spec.holdsTables() || q.cls.spec.waitsForTables())) {
+        if (apart && (q.cls.spec.holdsTables() || q.cls.spec.waitsForTables())) {
             List<Engine> homes = homesOf.computeIfAbsent(q.tables, this::homes);
-            Predicate<Engine> apart = e -> homes.contains(e) == q.cls.spec.holdsTables();
-            if (candidates.stream().anyMatch(apart)) {
-                candidates.removeIf(apart.negate());
+            Predicate<Engine> right = e -> homes.contains(e) == q.cls.spec.holdsTables();
+            if (candidates.stream().anyMatch(right)) {
+                candidates.removeIf(right.negate());
             }
         }
     }
@@ -343,6 +346,7 @@
         for (double told : List.of(r.coresBusy(), r.memoryGranted(), r.waiting() / e.cores)) {
             own += fresh(e) && told > 0 ? told : 0;
         }
+        own *= q.cls.spec.kinds().isEmpty() && boundKinds.contains(e.entry.kind()) ? WANTED : 1;
         return own * Math.exp(Math.max(0, slowness(e)));
     }
 
@@ -626,7 +630,10 @@
         Query q = queries.get(e.id());
         Engine engine = engines.get(e.engine());
         if (engine != null) {
-            note(engine, e.report());
+            if (!e.report().equals(Report.NONE)) {
+                engine.report = e.report();
+                engine.reportNs = now;
+            }
             judge(engine, e.outcome());
         }
         if (q == null || q.out == null || e.attempt() != q.attempts - 1) {
@@ -779,13 +786,6 @@
     }
 
     // ---- What is believed of the engines
-    private void note(Engine e, Report r) {
-        if (!r.equals(Report.NONE)) {
-            e.report = r;
-            e.reportNs = now;
-        }
-    }
-
     private void judge(Engine e, Outcome outcome) {
         switch (outcome) {
             case SERVED, ERROR -> {
@@ -805,8 +805,10 @@
     private void probed(Probed p) {
         Engine e = engines.get(p.engine());
         if (e != null) {
-            note(e, p.report());
-            e.reportNs = p.outcome() == Outcome.SERVED ? now : e.reportNs; // also where it tells nothing
+            if (p.outcome() == Outcome.SERVED) {
+                e.report = p.report();
+                e.reportNs = now;
+            }
             e.probing = false;
             release();
         }
@@ -895,7 +897,7 @@
             closePeriodIfDue(e.bound);
             if (now >= e.avoidUntilNs && silent(e)) {
                 avoid(e);
-                leave(e);
+                e.running.stream().filter(this::movable).forEach(this::cancel); // freed, they go elsewhere
             }
         }
         release();
@@ -907,11 +909,6 @@
                 now - q.takenNs > TICK_NS && now + q.usualNs() < q.aimNs() && hasTurn(q));
     }
 
-    /** Takes repeatable queries away from a silent engine, where a cancel frees them. */
-    private void leave(Engine e) {
-        e.running.stream().filter(this::movable).forEach(this::cancel);
-    }
-
     private boolean movable(Query q) {
         return allowed.cancels() && q.cls.spec.effect() == Effect.IDEMPOTENT && !q.over && !q.cancelled
                 && q.attempts < allowed.attempts();
--- a/src/test/java/ashlink/MechanismTest.java
+++ b/src/test/java/ashlink/MechanismTest.java
@@ -251,6 +251,22 @@
         assertTrue(loads.isEmpty());
     }
 
+    @Test
+    void freeClassesLeaveTheKindsThatBoundClassesNeed() {
+        Router r = Router.with(look("look"), report(Set.of("big"), Set.of()));
+        r.list(Gateway.ListForm.WHOLE, Router.ready("a"),
+                Router.entry("b", "z1", "small", Gateway.Phase.READY, 0));
+        r.reports.put("a", new Report(0, 0.5, Double.NaN, Double.NaN));
+        r.reports.put("b", r.reports.get("a"));
+        for (int i = 0; i < 20; i++) {
+            assertEquals(List.of("b"), enginesOf(r.ask(i, "look", null, 50)));
+            r.serve(1, 50);
+        }
+        r.reports.put("b", new Report(0, 0.9, Double.NaN, Double.NaN));
+        r.pass(1_000);
+        assertEquals(List.of("a"), enginesOf(r.ask(30, "look", null, 50)));
+    }
+
     @Test
     void lateHeldQueriesAreGivenUpWhileOthersCanBeInTime() {
         Router r = reports();
