--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -346,7 +346,7 @@
         for (double told : List.of(r.coresBusy(), r.memoryGranted(), r.waiting() / e.cores)) {
             own += fresh(e) && told > 0 ? told : 0;
         }
-        own *= q.cls.spec.kinds().isEmpty() && boundKinds.contains(e.entry.kind()) ? WANTED : 1;
+        own *= !calm && q.cls.spec.kinds().isEmpty() && boundKinds.contains(e.entry.kind()) ? WANTED : 1;
         return own * Math.exp(Math.max(0, slowness(e)));
     }
 
