--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -897,6 +897,7 @@
             closePeriodIfDue(e.bound);
             if (now >= e.avoidUntilNs && silent(e)) {
                 avoid(e);
+                out.add(new Log("avoiding " + e.name + ": it takes queries and gives no sign of them"));
                 e.running.stream().filter(this::movable).forEach(this::cancel); // freed, they go elsewhere
             }
         }
--- a/src/test/java/ashlink/MechanismTest.java
+++ b/src/test/java/ashlink/MechanismTest.java
@@ -202,6 +202,9 @@
         assertTrue(only(Cancel.class, r.on(new Progress(1, 0, silent, NoteKind.SHARE_DONE, 0.2))).isEmpty());
         assertTrue(only(Cancel.class, r.pass(1_500)).isEmpty());
         assertEquals(List.of(new Cancel(1, 0)), only(Cancel.class, r.pass(200)));
+        List<Gateway.Log> lines = only(Gateway.Log.class, r.actions);
+        assertEquals(1, lines.size());
+        assertTrue(lines.get(0).text().contains(silent), lines.get(0).text());
         r.end(1, 0, silent, Outcome.CANCELLED, 1_000);
         assertNotEquals(silent, r.sends().get(1).engine());
     }
