--- a/src/test/java/ashlink/RulesKeptTest.java
+++ b/src/test/java/ashlink/RulesKeptTest.java
@@ -200,4 +200,46 @@
         r.pass(2_000);
         assertEquals(2, r.sends().size());
     }
+
+    @Test
+    void aRefusedListKeepsTheOldOneAndAsksAgain() {
+        Router r = Router.with(look("look")).engines("a");
+        assertEquals(1, only(Gateway.Subscribe.class, r.on(new Gateway.ListNews(ListForm.REFUSED, List.of()))).size());
+        assertEquals(List.of("a"), enginesOf(r.ask(1, "look", null, 10)));
+    }
+
+    @Test
+    void anEmptyListAndUnknownEnginesAreHarmless() {
+        Router r = Router.with(look("look")).engines();
+        r.end(77, 0, "nowhere", Outcome.SERVED, 5);
+        r.on(new Gateway.Probed("nowhere", Outcome.TIMED_OUT, 5, Gateway.Report.NONE));
+        r.on(new Gateway.Progress(77, 0, "nowhere", Gateway.NoteKind.SHARE_DONE, 0.5));
+        assertTrue(enginesOf(r.ask(1, "look", null, Long.MAX_VALUE / MS / 4)).isEmpty());
+        assertEquals(1, only(Refuse.class, r.pass(20_000)).size());
+    }
+
+    @Test
+    void aFurtherAttemptOfTheFirstOfALineNeedNotRest() {
+        Router r = Router.with(load(Effect.DEDUPLICATED, RepeatGroup.ALL, true)).engines("a", "b", "c");
+        r.ask(1, "load", "k", 100);
+        r.ask(2, "load", "k", 100);
+        r.end(1, 0, r.sends().get(0).engine(), Outcome.RESET, 10);
+        assertEquals(List.of(1L, 1L), r.sends().stream().map(Send::id).toList()); // the rest is for later ones
+        r.end(1, 1, r.sends().get(1).engine(), Outcome.SERVED, 10);
+        assertEquals(2, r.sends().size());
+        r.pass(360);
+        assertEquals(List.of(1L, 1L, 2L), r.sends().stream().map(Send::id).toList());
+    }
+
+    @Test
+    void anEngineIsColdUntilItsTimeIsOverAndNotAfter() {
+        for (int warm = 0; warm < 2; warm++) {
+            Router r = new Router(Router.settings(50, ALLOWED, LIMITS, report(Set.of(), Set.of())));
+            long started = r.now - LIMITS.coldNs() + (1 - warm) * 200 * MS;
+            r.list(ListForm.WHOLE, entry("a", "z1", "big", Phase.READY, started));
+            assertEquals(warm, enginesOf(r.ask(1, "report", null, 1_000)).size());
+            r.pass(300);
+            assertEquals(1, r.sends().size());
+        }
+    }
 }
