--- a/src/test/java/ashlink/MechanismTest.java
+++ b/src/test/java/ashlink/MechanismTest.java
@@ -141,6 +141,19 @@
         assertEquals(3, r.outstanding.size());
     }
 
+    @Test
+    void aBoundGrowsToTwiceItsSeedAtMost() {
+        Router r = underPressure(20);
+        long id = 1_000;
+        for (long ms = 150; ms > 40; ms -= 10) { // each period gains
+            for (int i = 0; i < 2_100 / ms; i++) {
+                r.ask(id++, "report", null, 9_000);
+                play(r, 1, ms);
+            }
+        }
+        assertEquals(6, r.outstanding.size()); // a seed of six threads, two threads each
+    }
+
     @Test
     void aPeriodWithOneAnswerMovesNothing() {
         Router r = underPressure(20);
