--- a/src/main/java/ashlink/Gateway.java
+++ b/src/main/java/ashlink/Gateway.java
@@ -107,11 +107,16 @@
     /** One line of the list of engines; {@code startedNs} 0 is long ago. */
     record ListEntry(String engine, Phase phase, String zone, String kind, long cell, long startedNs) { }
 
-    /** An engine's load report; a value that it does not tell is NaN. */
-    record Report(double waiting, double coresBusy, double memoryGranted, double disksBusy) {
+    /** An engine's load report, {@code inHand} all queries that it holds; a value that it does not tell is NaN. */
+    record Report(double waiting, double coresBusy, double memoryGranted, double disksBusy, double inHand) {
 
         /** The report of an engine that tells nothing. */
         public static final Report NONE = new Report(Double.NaN, Double.NaN, Double.NaN, Double.NaN);
+
+        /** A report that does not tell the queries in hand. */
+        public Report(double waiting, double coresBusy, double memoryGranted, double disksBusy) {
+            this(waiting, coresBusy, memoryGranted, disksBusy, Double.NaN);
+        }
     }
 
     /** What happens to a gateway. */
--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -77,6 +77,8 @@
     /** Quantile of a class's response times taken as its usual one, and the step of its tracker in logs. */
     private static final double USUAL_QUANTILE = 0.25;
     private static final double USUAL_STEP = 0.05;
+    /** Log of the upper quartile over the usual one up to which times are even (2 times). */
+    private static final double SPREAD_LOG = Math.log(2);
     /** Share of the cold budget that is used: estimates lie, and other gateways round up too. */
     private static final double COLD_MARGIN = 0.6;
     /** Share of a cold window that may be saved up; queries that the engine must bear for one by chance. */
@@ -136,6 +138,8 @@
     private final Set<String> boundKinds = new HashSet<>();
     private final boolean apart;         // loads and readers of a group keep to different engines
     private double slowLog;              // as an engine's, over all of them
+    private double servedNs;             // time in engines of what was served, and the same by threads
+    private double servedThreadNs;
     private double share;                // learnt share of what keeps the engines busy
     private double probes = PROBES_SAVED;
     private boolean calm = true;         // few engines are under pressure
@@ -198,7 +202,7 @@
         if (limits.budgetSpanNs() > 0) {
             taken.add(now);
         }
-        double estimate = r.workNs() > 0 ? r.workNs() / (double) MS : knownMs(cls);
+        double estimate = r.workNs() > 0 ? r.workNs() / (double) MS : priorMs(cls);
         if (r.workNs() > 0) {
             double weight = Math.max(CLASS_WEIGHT, 1.0 / ++cls.estimates);
             cls.meanEstimateMs += weight * (estimate - cls.meanEstimateMs);
@@ -216,12 +220,10 @@
         answerIfDue(q);
     }
 
+    /** Mean work of a class, on the safe side: estimated, or told by answers where none are given. */
     private static double usualMs(ClassFacts c) {
-        return knownMs(c) * Math.max(1, Math.exp(c.usualLog));
-    }
-
-    private static double knownMs(ClassFacts c) {
-        return c.estimates > 0 ? c.meanEstimateMs : priorMs(c);
+        double estimated = c.meanEstimateMs * Math.max(1, Math.exp(c.usualLog));
+        return c.estimates + c.told == 0 ? priorMs(c) : Math.max(estimated, c.meanToldMs);
     }
 
     /** Work of a class of which nothing was seen yet, on the safe side: with more, all would be late. */
@@ -240,7 +242,7 @@
     private void release() {
         List<ClassFacts> full = new ArrayList<>();
         for (Query q : List.copyOf(held)) {
-            if (full.contains(q.cls) || !hasTurn(q)) {
+            if (full.contains(q.cls) || !hasTurn(q) || !withinResendBudget(q)) {
                 continue;
             }
             Engine e = choose(q);
@@ -343,7 +345,8 @@
     private double load(Engine e, Query q) {
         double own = (e.workMs + q.workMs) / e.cores / OWN_WORK_MS;
         Report r = e.report;
-        for (double told : List.of(r.coresBusy(), r.memoryGranted(), r.waiting() / e.cores)) {
+        for (double told : List.of(r.coresBusy(), r.memoryGranted(), r.waiting() / e.cores, r.disksBusy(),
+                threadsACore(e))) {
             own += fresh(e) && told > 0 ? told : 0;
         }
         own *= !calm && q.cls.spec.kinds().isEmpty() && boundKinds.contains(e.entry.kind()) ? WANTED : 1;
@@ -395,15 +398,16 @@
 
     /**
      * Guards a gateway with far more traffic than the others against an equal share: where reports tell how
-     * busy the cores are, its share is that of its own threads in what keeps them busy.
+     * busy the cores are, or how many queries are in hand, its share is that of its own threads in them.
      */
     private void learnShare() {
         double own = 0;
         double busy = 0;
         for (Engine e : engines.values()) {
-            if (e.entry != null && fresh(e) && e.report.coresBusy() > 0) {
+            double told = e.report.inHand() > 0 ? threadsACore(e) : e.report.coresBusy() * SEED_THREADS;
+            if (e.entry != null && fresh(e) && told > 0) {
                 own += e.threads;
-                busy += e.report.coresBusy() * e.cores * SEED_THREADS;
+                busy += told * e.cores;
             }
         }
         share += SHARE_WEIGHT * ((busy > 0 ? Math.min(1, own / busy) : 0) - share);
@@ -414,16 +418,22 @@
     /** Guards brief queries against waiting for room behind long ones: the paper's case for more room. */
     private boolean brief(Query q) {
         double longest = classes.values().stream().mapToDouble(Rules::usualMs).max().orElse(0);
-        return q.workMs < BRIEF_SHARE * longest;
+        return (q.estimated ? q.workMs : usualMs(q.cls)) < BRIEF_SHARE * longest;
     }
 
     /** Pressure: response times far above the usual, a report that says busy, or a refusal just now. */
     private boolean pressed(Engine e) {
         boolean busy = fresh(e) && (e.report.waiting() >= 1 || e.report.coresBusy() >= BUSY
-                || e.report.memoryGranted() >= BUSY);
+                || e.report.memoryGranted() >= BUSY || e.report.disksBusy() >= BUSY
+                || threadsACore(e) >= SEED_THREADS);
         return busy || now - e.fullNs < FRESH_NS || slowness(e) > PRESSED_LOG;
     }
 
+    /** Threads that the queries in hand run there, taken to be like those that this gateway saw served. */
+    private double threadsACore(Engine e) {
+        return e.report.inHand() * (servedNs > 0 ? servedThreadNs / servedNs : 1) / e.cores;
+    }
+
     private boolean fresh(Engine e) {
         return now - e.reportNs < FRESH_NS;
     }
@@ -436,7 +446,7 @@
         double weight = e.slowWeight * Math.exp(-(now - e.slowNs) / (double) SLOW_FADE_NS);
         double sum = weight * e.slowLog;
         for (Query q : e.running) {
-            double late = Math.log((now - q.sentNs + 1.0) / q.usualNs());
+            double late = Math.log((now - q.sentNs + 1.0) / q.usualNs()) * evenness(q.cls);
             if (late > PRESSED_LOG) {
                 sum += late;
                 weight++;
@@ -445,6 +455,11 @@
         return sum / (weight + 1);
     }
 
+    /** A time far over the usual one tells less where times scatter widely: without estimates they do. */
+    private static double evenness(ClassFacts c) {
+        return Math.min(1, SPREAD_LOG / Math.max(1e-3, c.spreadLog));
+    }
+
     // ---- The one send path: the rules are kept here
     private boolean maySend(Query q, Engine e) {
         return ready(e) && !q.over && q.out == null && q.attempts < allowed.attempts()
@@ -513,7 +528,8 @@
 
     /** Usual work, on the safe side while few queries were seen. */
     private static double heavyMs(ClassFacts c) {
-        return (FEW * priorMs(c) + c.estimates * usualMs(c)) / (FEW + c.estimates);
+        int seen = c.estimates + c.told;
+        return (FEW * priorMs(c) + seen * usualMs(c)) / (FEW + seen);
     }
 
     private boolean cold(Engine e) {
@@ -727,13 +743,23 @@
         double stretch = Math.log(Math.max(1e-3,
                 end.tookNs() / (double) MS * q.cls.spec.threads() / Math.max(1e-3, q.estimateMs)));
         if (!pressed(e)) { // a jam must not become the usual, nor the lucky ones that pass it
-            q.cls.usualLog += USUAL_STEP * (stretch < q.cls.usualLog ? USUAL_QUANTILE - 1 : USUAL_QUANTILE);
-        }
+            double step = Math.max(USUAL_STEP, 1.0 / ++q.cls.lessons);
+            double upper = q.cls.usualLog + q.cls.spreadLog;
+            q.cls.usualLog += step * (stretch < q.cls.usualLog ? USUAL_QUANTILE - 1 : USUAL_QUANTILE);
+            upper += step * (stretch < upper ? -USUAL_QUANTILE : 1 - USUAL_QUANTILE);
+            q.cls.spreadLog = Math.max(0, upper - q.cls.usualLog);
+        }
+        if (end.workMs() > 0) {
+            q.cls.meanToldMs += Math.max(CLASS_WEIGHT, 1.0 / ++q.cls.told) * (end.workMs() - q.cls.meanToldMs);
+        }
+        servedNs += end.tookNs();
+        servedThreadNs += (double) end.tookNs() * q.cls.spec.threads();
+        double excess = (stretch - q.cls.usualLog) * evenness(q.cls);
         double old = e.slowWeight * Math.exp(-(now - e.slowNs) / (double) SLOW_FADE_NS);
         e.slowWeight = Math.min(SLOW_ANSWERS, old + 1);
-        e.slowLog += (stretch - q.cls.usualLog - e.slowLog) / e.slowWeight;
+        e.slowLog += (excess - e.slowLog) / e.slowWeight;
         e.slowNs = now;
-        slowLog += MEAN_WEIGHT * (stretch - q.cls.usualLog - slowLog);
+        slowLog += MEAN_WEIGHT * (excess - slowLog);
         e.bound.completions++;
         e.bound.responseSumNs += end.tookNs();
         if (q.grantMb > 0 && q.needMb == 0) {
--- a/src/main/java/ashlink/State.java
+++ b/src/main/java/ashlink/State.java
@@ -21,8 +21,14 @@
         final QueryClass spec;
         /** Log of the usual response time x threads over the estimate. */
         double usualLog;
+        /** Log of the upper quartile over the usual one. */
+        double spreadLog;
+        int lessons;
         double meanEstimateMs;
         int estimates;
+        /** Mean work that answers told, and the answers in it. */
+        double meanToldMs;
+        int told;
         /** Learnt need of memory over the estimate, and the lessons in it. */
         double memoryBias = 1;
         int memoryLessons;
@@ -45,6 +51,7 @@
         /** Estimate, corrected by what its class taught. */
         final double workMs;
         final double memoryMb;
+        final boolean estimated;
         double worth;
         boolean over;
         /** Engine of the attempt that is out, and what the list said of it when it was sent. */
@@ -77,6 +84,7 @@
             this.estimateMs = estimateMs;
             this.workMs = workMs;
             this.memoryMb = r.memoryMb();
+            this.estimated = r.workNs() > 0;
             this.worth = cls.spec.worth();
         }
 
--- a/src/main/java/ashlink/drill/Codec.java
+++ b/src/main/java/ashlink/drill/Codec.java
@@ -116,6 +116,7 @@
         double cores = Double.NaN;
         double memory = Double.NaN;
         double disks = Double.NaN;
+        double inHand = Double.NaN;
         for (String pair : text.split(",")) {
             int colon = pair.indexOf(':');
             if (colon < 0) {
@@ -127,10 +128,11 @@
                 case "cpu_share" -> cores = value;
                 case "x0" -> memory = value;
                 case "x1" -> disks = value;
+                case "busy_reqs" -> inHand = value;
                 default -> { }
             }
         }
-        return new Report(waiting, cores, memory, disks);
+        return new Report(waiting, cores, memory, disks, inHand);
     }
 
     private static double gaugeValue(String pair, String value) {
