--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -100,7 +100,7 @@
     private static final double PROBES_SAVED = 20;
     /** Periods of notes, or usual times where none come, without a sign of an engine that make it silent. */
     private static final double SILENT_NOTES = 1.6;
-    private static final double SILENT_TIMES = 8;
+    private static final double SILENT_LOG = Math.log(8);
     private static final long SILENT_NS = 700 * MS;
     /** Nanoseconds an engine is left alone after a failed connection or a reset; doubled up to the second. */
     private static final long AVOID_NS = 500 * MS;
@@ -138,6 +138,7 @@
     private final Set<String> boundKinds = new HashSet<>();
     private final boolean apart;         // loads and readers of a group keep to different engines
     private double slowLog;              // as an engine's, over all of them
+    private double crowd;                // threads a core of all gateways, over the engines with fresh news
     private double servedNs;             // time in engines of what was served, and the same by threads
     private double servedThreadNs;
     private double share;                // learnt share of what keeps the engines busy
@@ -365,7 +366,8 @@
         }
         boolean line = !stale(e) && e.report.waiting() > LINE_A_CORE * e.cores && !brief(q);
         boolean room = now - e.fullNs >= FULL_PAUSE_NS && !line && (b.threads == 0 || b.threads < limit
-                || b == pool && (brief(q) && allowed.priorities() || calm && fresh(e) && !pressed(e)));
+                || b == pool && (brief(q) && allowed.priorities() && !crowded()
+                || calm && fresh(e) && !pressed(e)));
         b.periodHeld |= !room;
         return room;
     }
@@ -375,7 +377,8 @@
     }
 
     private double seed(Bound b) {
-        return Math.max(1, SEED_THREADS * b.cores * Math.max(share, 1.0 / settings.gateways()));
+        double equal = 1.0 / settings.gateways();
+        return Math.max(1, SEED_THREADS * b.cores * (crowd > 0 ? (share + equal) / 2 : Math.max(share, equal)));
     }
 
     /** Guards against many gateways whose floors of one thread an engine add up: then one bound over all. */
@@ -411,6 +414,8 @@
             }
         }
         share += SHARE_WEIGHT * ((busy > 0 ? Math.min(1, own / busy) : 0) - share);
+        crowd = engines.values().stream().filter(e -> fresh(e) && e.report.inHand() >= 0)
+                .mapToDouble(this::threadsACore).average().orElse(0);
         long known = engines.values().stream().filter(this::fresh).count();
         calm = engines.values().stream().filter(e -> fresh(e) && pressed(e)).count() <= CALM * known;
     }
@@ -429,6 +434,11 @@
         return busy || now - e.fullNs < FRESH_NS || slowness(e) > PRESSED_LOG;
     }
 
+    /** True where reports tell that all gateways together run more threads than the level, engine by engine. */
+    private boolean crowded() {
+        return crowd > SEED_THREADS;
+    }
+
     /** Threads that the queries in hand run there, taken to be like those that this gateway saw served. */
     private double threadsACore(Engine e) {
         return e.report.inHand() * (servedNs > 0 ? servedThreadNs / servedNs : 1) / e.cores;
@@ -750,7 +760,8 @@
             q.cls.spreadLog = Math.max(0, upper - q.cls.usualLog);
         }
         if (end.workMs() > 0) {
-            q.cls.meanToldMs += Math.max(CLASS_WEIGHT, 1.0 / ++q.cls.told) * (end.workMs() - q.cls.meanToldMs);
+            double weight = Math.max(CLASS_WEIGHT, 1.0 / ++q.cls.told);
+            q.cls.meanToldMs += weight * (end.workMs() - q.cls.meanToldMs);
         }
         servedNs += end.tookNs();
         servedThreadNs += (double) end.tookNs() * q.cls.spec.threads();
@@ -799,7 +810,7 @@
         boolean mayFall = !outwait && !slower && (b.moved >= size || b.fullNs >= b.periodStartNs);
         if (b.periodHeld) {
             boolean gained = throughput > b.lastThroughput * (1 + THRESHOLD);
-            move(b, b.lastStep <= 0 || gained ? size : mayFall ? -size : 0);
+            move(b, !crowded() && b.lastStep <= 0 || gained ? size : mayFall || crowded() ? -size : 0);
         } else {
             boolean lost = throughput < b.lastThroughput * (1 - THRESHOLD);
             move(b, lost && b.lastStep < 0 ? size : mayFall ? -size : 0);
@@ -850,7 +861,8 @@
     private boolean silent(Engine e) {
         for (Query q : e.running) {
             double patience = allowed.noteEveryNs() > 0
-                    ? SILENT_NOTES * allowed.noteEveryNs() : SILENT_TIMES * q.usualNs();
+                    ? SILENT_NOTES * allowed.noteEveryNs()
+                    : q.usualNs() * Math.exp((SILENT_LOG + Math.max(0, slowLog)) / evenness(q.cls));
             if (now - Math.max(q.sentNs, e.heardNs) > Math.max(SILENT_NS, patience)) {
                 return true;
             }
