--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -79,8 +79,6 @@
     private static final double USUAL_STEP = 0.05;
     /** Log of the upper quartile over the usual one up to which times are even (2 times). */
     private static final double SPREAD_LOG = Math.log(2);
-    /** Times as loaded as the second engine of a group's order that the first may be: tables are warm there. */
-    private static final double HOME_GAIN = 1.5;
     /** Share of the cold budget that is used: estimates lie, and other gateways round up too. */
     private static final double COLD_MARGIN = 0.6;
     /** Share of a cold window that may be saved up; queries that the engine must bear for one by chance. */
@@ -281,31 +279,15 @@
             q.scouted = List.of();
         }
         int n = candidates.size();
-        if (n == 0) {
-            return null;
-        }
-        Comparator<Engine> order = homeOrder(q.tables);
-        List<Engine> near = candidates.stream().filter(this::near).toList();
-        Engine first = (near.isEmpty() ? candidates : near).stream().min(order).orElseThrow();
-        candidates.remove(first);
-        Engine second = n < 2 ? first : candidates.stream().min(order).orElseThrow();
+        Engine first = n == 0 ? null : candidates.remove(random.nextInt(n));
+        Engine second = n < 2 ? first : candidates.get(random.nextInt(n - 1));
         if (n < 2 || !scouted && scout(q, List.of(first, second))) {
             return n == 1 ? first : null;
         }
         if (first.probing != second.probing) {
             return first.probing ? second : first;
         }
-        return HOME_GAIN * load(second, q) < load(first, q) ? second : first;
-    }
-
-    private boolean near(Engine e) {
-        return e.entry.zone().equals(settings.zone());
-    }
-
-    /** An order of the engines that all gateways draw alike for a group of tables, without a word between them. */
-    private static Comparator<Engine> homeOrder(long tables) {
-        return Comparator.comparingLong((Engine e) -> new SplittableRandom(
-                31L * e.name.hashCode() + tables).nextLong()).thenComparing(e -> e.name);
+        return load(second, q) < load(first, q) ? second : first;
     }
 
     /** Guards against a blind choice where little of ours runs: asks both candidates whose news is stale. */
@@ -350,12 +332,13 @@
     }
 
     /**
-     * Guards readers against standing still behind loads of their tables: all gateways load a group on the
-     * first half of its order and read it on the other.
+     * Guards readers against standing still behind loads of their tables: all gateways hash a group to the
+     * same engines, load it there and read it elsewhere, without a word between them.
      */
     private List<Engine> homes(long tables) {
         List<Engine> ready = ready();
-        ready.sort(homeOrder(tables));
+        ready.sort(Comparator.comparingLong((Engine e) -> new SplittableRandom(
+                31L * e.name.hashCode() + tables).nextLong()).thenComparing(e -> e.name));
         return ready.subList(0, (int) Math.ceil(LOAD_HOMES * ready.size()));
     }
 
@@ -373,7 +356,8 @@
 
     /**
      * The bound on threads binds only under pressure, and never where none of ours runs. Guards against
-     * floods: gateways that hold queries see the same dip and would all fill one engine at once.
+     * floods: gateways that hold queries see the same dip and would all fill one engine at once. In a crowd
+     * a query must fit with its own threads, the first one too: one of each gateway would be over the level.
      */
     private boolean hasRoom(Query q, Engine e) {
         Bound b = e.bound;
@@ -382,9 +366,10 @@
             limit += BRIEF_LANE * seed(b);
         }
         boolean line = !stale(e) && e.report.waiting() > LINE_A_CORE * e.cores && !brief(q);
-        boolean room = now - e.fullNs >= FULL_PAUSE_NS && !line && (b.threads == 0 || b.threads < limit
-                || b == pool && (brief(q) && allowed.priorities() && !crowded()
-                || calm && fresh(e) && !pressed(e)));
+        boolean fits = b == pool && crowded() ? b.threads + q.cls.spec.threads() <= limit
+                : b.threads == 0 || b.threads < limit;
+        boolean room = now - e.fullNs >= FULL_PAUSE_NS && !line && (fits || b == pool && (brief(q)
+                && allowed.priorities() && !crowded() || calm && fresh(e) && !pressed(e)));
         b.periodHeld |= !room;
         return room;
     }
@@ -395,7 +380,7 @@
 
     private double seed(Bound b) {
         double equal = 1.0 / settings.gateways();
-        double part = crowd > 0 ? (share + equal) / 2 : Math.max(share, equal); // told by all, it must add up to 1
+        double part = crowd > 0 ? (share + equal) / 2 : Math.max(share, equal); // adds up to 1 over all
         return Math.max(1, SEED_THREADS * b.cores * part);
     }
 
