--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -139,8 +139,9 @@
     private final boolean apart;         // loads and readers of a group keep to different engines
     private double slowLog;              // as an engine's, over all of them
     private double crowd;                // threads a core of all gateways, over the engines with fresh news
-    private double servedNs;             // time in engines of what was served, and the same by threads
-    private double servedThreadNs;
+    private double runTicks;             // ticks that our queries ran in engines, and the same by threads
+    private double runThreadTicks;
+    private double luck;                 // drawn each tick: who may let one in where its bound has no room
     private double share;                // learnt share of what keeps the engines busy
     private double probes = PROBES_SAVED;
     private boolean calm = true;         // few engines are under pressure
@@ -200,9 +201,7 @@
             out.add(new Refuse(r.id(), 0)); // a class that the settings don't know can go nowhere
             return;
         }
-        if (limits.budgetSpanNs() > 0) {
-            taken.add(now);
-        }
+        taken.add(now);
         double estimate = r.workNs() > 0 ? r.workNs() / (double) MS : priorMs(cls);
         if (r.workNs() > 0) {
             double weight = Math.max(CLASS_WEIGHT, 1.0 / ++cls.estimates);
@@ -247,11 +246,9 @@
                 continue;
             }
             Engine e = choose(q);
-            if (e == null) {
-                if (q.scouted.isEmpty()) {
-                    full.add(q.cls);
-                }
-            } else {
+            if (e == null && q.scouted.isEmpty()) {
+                full.add(q.cls);
+            } else if (e != null) {
                 q.scouted = List.of();
                 held.remove(q);
                 send(q, e);
@@ -333,7 +330,7 @@
 
     /**
      * Guards readers against standing still behind loads of their tables: all gateways hash a group to the
-     * same engines, load it there and read it elsewhere, without a word between them.
+     * same engines, load it there and read it elsewhere.
      */
     private List<Engine> homes(long tables) {
         List<Engine> ready = ready();
@@ -357,25 +354,36 @@
     /**
      * The bound on threads binds only under pressure, and never where none of ours runs. Guards against
      * floods: gateways that hold queries see the same dip and would all fill one engine at once. In a crowd
-     * a query must fit with its own threads, the first one too: one of each gateway would be over the level.
+     * the limit shrinks in proportion: what floors and late news let in too much, all must make up for.
      */
     private boolean hasRoom(Query q, Engine e) {
         Bound b = e.bound;
-        double limit = pressed(e) ? bound(b) : Math.max(bound(b), FLOOD * seed(b));
+        double limit = Math.max(seed(b) + b.moved, pressed(e) ? 1 : FLOOD * seed(b));
         if (brief(q)) {
             limit += BRIEF_LANE * seed(b);
         }
+        limit /= b == pool ? Math.max(1, crowd / SEED_THREADS) : 1;
         boolean line = !stale(e) && e.report.waiting() > LINE_A_CORE * e.cores && !brief(q);
-        boolean fits = b == pool && crowded() ? b.threads + q.cls.spec.threads() <= limit
-                : b.threads == 0 || b.threads < limit;
+        boolean fits = b == pool && crowded() ? fits(q, limit) : b.threads == 0 || b.threads < limit;
         boolean room = now - e.fullNs >= FULL_PAUSE_NS && !line && (fits || b == pool && (brief(q)
                 && allowed.priorities() && !crowded() || calm && fresh(e) && !pressed(e)));
         b.periodHeld |= !room;
         return room;
     }
 
-    private double bound(Bound b) {
-        return Math.max(1, seed(b) + b.moved);
+    /**
+     * Guards a crowd against one query of each gateway: a query must fit with its own threads. One that never
+     * could gets in by chance, so seldom that it fits on average; brief ones fit a lane of their own threads.
+     */
+    private boolean fits(Query q, double limit) {
+        int threads = q.cls.spec.threads();
+        if (pool.threads + threads <= limit
+                || pool.threads == 0 && luck < limit / threads * TICK_NS / Math.max(TICK_NS, q.usualNs())) {
+            return true;
+        }
+        int lane = !brief(q) ? 0 : queries.values().stream().filter(o -> o.out != null && brief(o))
+                .mapToInt(o -> o.cls.spec.threads()).sum();
+        return brief(q) && lane + threads <= Math.max(1, BRIEF_LANE * seed(pool));
     }
 
     private double seed(Bound b) {
@@ -402,14 +410,13 @@
         }
     }
 
-    /**
-     * Guards a gateway with far more traffic than the others against an equal share: where reports tell how
-     * busy the cores are, or how many queries are in hand, its share is that of its own threads in them.
-     */
+    /** Guards a busy gateway against an equal share: its threads' part in what reports tell is its share. */
     private void learnShare() {
         double own = 0;
         double busy = 0;
         for (Engine e : engines.values()) {
+            runTicks += e.running.size();
+            e.running.forEach(q -> runThreadTicks += q.cls.spec.threads());
             double told = e.report.inHand() > 0 ? threadsACore(e) : e.report.coresBusy() * SEED_THREADS;
             if (e.entry != null && fresh(e) && told > 0) {
                 own += e.threads;
@@ -442,9 +449,9 @@
         return crowd > SEED_THREADS;
     }
 
-    /** Threads that the queries in hand run there, taken to be like those that this gateway saw served. */
+    /** Threads of the queries in hand, taken to be like our running ones: those with bad plans never end. */
     private double threadsACore(Engine e) {
-        return e.report.inHand() * (servedNs > 0 ? servedThreadNs / servedNs : 1) / e.cores;
+        return e.report.inHand() * (runTicks > 0 ? runThreadTicks / runTicks : 1) / e.cores;
     }
 
     private boolean fresh(Engine e) {
@@ -486,9 +493,7 @@
     }
 
     private List<Engine> ready() {
-        List<Engine> ready = new ArrayList<>(engines.values());
-        ready.removeIf(e -> !ready(e));
-        return ready;
+        return new ArrayList<>(engines.values().stream().filter(Rules::ready).toList());
     }
 
     private boolean hasTurn(Query q) {
@@ -551,21 +556,23 @@
     }
 
     private boolean withinResendBudget(Query q) {
-        if (limits.budgetSpanNs() <= 0 || q.attempts == 0) {
-            return true;
-        }
-        long from = now - limits.budgetSpanNs();
+        forgetBefore(now - limits.budgetSpanNs());
+        return limits.budgetSpanNs() <= 0 || q.attempts == 0
+                || resent.size() + 1 <= limits.freeResends() + limits.resendsPerRequest() * taken.size();
+    }
+
+    /** On the safe side: what is exactly as old as the span counts where it costs and not where it earns. */
+    private void forgetBefore(long from) {
         while (!taken.isEmpty() && taken.peek() <= from) {
             taken.poll();
         }
         while (!resent.isEmpty() && resent.peek() < from) {
             resent.poll();
         }
-        return resent.size() + 1 <= limits.freeResends() + limits.resendsPerRequest() * taken.size();
     }
 
     private void send(Query q, Engine e) {
-        if (limits.budgetSpanNs() > 0 && q.attempts > 0) {
+        if (q.attempts > 0) {
             resent.add(now);
         }
         if (cold(e)) {
@@ -642,8 +649,22 @@
         long ran = now - q.workingFromNs;
         double ahead = ran * (1 - share) / share;
         double fresh = q.usualNs() * Math.exp(Math.max(0, Math.max(slowLog, slowness(q.out))));
-        if (movable(q) && q.restarts < BAD_PLAN_RESTARTS
-                && ahead + ran > BAD_PLAN * fresh && ahead > 2 * fresh && now + fresh < q.deadlineNs) {
+        if (ahead + ran > BAD_PLAN * fresh && ahead > 2 * fresh && now + fresh < q.deadlineNs) {
+            restart(q);
+        }
+    }
+
+    /** Where no notes come time must tell: far over the usual at the day's spread, and late already. */
+    private void restartLongRunner(Query q) {
+        double far = (Math.log(BAD_PLAN) + Math.max(0, slowLog - PRESSED_LOG)) / evenness(q.cls);
+        if (allowed.noteEveryNs() == 0 && !brief(q) && now > q.aimNs()
+                && now - q.sentNs > q.usualNs() * Math.exp(far)) {
+            restart(q);
+        }
+    }
+
+    private void restart(Query q) {
+        if (movable(q) && q.restarts < BAD_PLAN_RESTARTS) {
             q.restarts++;
             cancel(q);
         }
@@ -766,8 +787,6 @@
             double weight = Math.max(CLASS_WEIGHT, 1.0 / ++q.cls.told);
             q.cls.meanToldMs += weight * (end.workMs() - q.cls.meanToldMs);
         }
-        servedNs += end.tookNs();
-        servedThreadNs += (double) end.tookNs() * q.cls.spec.threads();
         double excess = (stretch - q.cls.usualLog) * evenness(q.cls);
         double old = e.slowWeight * Math.exp(-(now - e.slowNs) / (double) SLOW_FADE_NS);
         e.slowWeight = Math.min(SLOW_ANSWERS, old + 1);
@@ -781,7 +800,7 @@
         }
     }
 
-    /** Moves the correction to where a set share of the class's queries fits; a first need sets it. */
+    /** Moves the correction to where a set share of the class's queries fits. */
     private void learnGrant(Query q, double needMb) {
         double off = Math.log(Math.max(1e-3, needMb / q.memoryMb / q.cls.memoryBias));
         double by = GRANT_LEARN * (off > 0 ? GRANT_QUANTILE : GRANT_QUANTILE - 1);
@@ -827,13 +846,11 @@
 
     // ---- What is believed of the engines
     private void judge(Engine e, Outcome outcome) {
+        boolean sign = Set.of(Outcome.SERVED, Outcome.ERROR, Outcome.TURNED_AWAY).contains(outcome);
+        e.heardNs = sign ? now : e.heardNs;
         switch (outcome) {
-            case SERVED, ERROR -> {
-                e.heardNs = now;
-                e.avoidNs = 0;
-            }
+            case SERVED, ERROR -> e.avoidNs = 0;
             case TURNED_AWAY -> {
-                e.heardNs = now;
                 e.fullNs = now;
                 e.bound.fullNs = now;
             }
@@ -913,9 +930,12 @@
     // ---- House-keeping
     private void tick() {
         out.add(new SetAlarm(TICK_LABEL, now + TICK_NS));
+        forgetBefore(now - limits.budgetSpanNs());
         learnShare();
+        luck = random.nextDouble();
         probes = Math.min(PROBES_SAVED, probes + PROBES_A_TICK);
-        boolean contended = contended();
+        boolean contended = held.stream().anyMatch(q -> // some that can still be in time wait for room
+                now - q.takenNs > TICK_NS && now + q.usualNs() < q.aimNs() && hasTurn(q));
         for (Query q : List.copyOf(held)) {
             answerIfDue(q);
             boolean late = now + q.usualNs() >= q.aimNs();
@@ -936,6 +956,7 @@
             }
             layGhosts(e);
             closePeriodIfDue(e.bound);
+            e.running.forEach(this::restartLongRunner);
             if (now >= e.avoidUntilNs && silent(e)) {
                 avoid(e);
                 out.add(new Log("avoiding " + e.name + ": it takes queries and gives no sign of them"));
@@ -945,12 +966,6 @@
         release();
     }
 
-    /** True while queries that can still be in time have waited for room. */
-    private boolean contended() {
-        return held.stream().anyMatch(q ->
-                now - q.takenNs > TICK_NS && now + q.usualNs() < q.aimNs() && hasTurn(q));
-    }
-
     private boolean movable(Query q) {
         return allowed.cancels() && q.cls.spec.effect() == Effect.IDEMPOTENT && !q.over && !q.cancelled
                 && q.attempts < allowed.attempts();
