--- /dev/null
+++ b/src/test/java/ashlink/CrowdTest.java
@@ -0,0 +1,164 @@
+package ashlink;
+
+import static ashlink.Router.LIMITS;
+import static ashlink.Router.MS;
+import static ashlink.Router.enginesOf;
+import static ashlink.Router.entry;
+import static ashlink.Router.look;
+import static ashlink.Router.only;
+import static ashlink.Router.report;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ashlink.Gateway.Allowed;
+import ashlink.Gateway.Cancel;
+import ashlink.Gateway.Ended;
+import ashlink.Gateway.Limits;
+import ashlink.Gateway.ListForm;
+import ashlink.Gateway.Outcome;
+import ashlink.Gateway.Phase;
+import ashlink.Gateway.Probed;
+import ashlink.Gateway.Report;
+import ashlink.Gateway.Request;
+import ashlink.Gateway.Send;
+import ashlink.Gateway.Settings;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Many gateways whose engines tell the queries in hand, and nothing or little else. */
+class CrowdTest {
+
+    private static final int GATEWAYS = 200;
+    /** Cancels heeded, no notes of progress, cost told in answers. */
+    private static final Allowed NO_NOTES =
+            new Allowed(true, true, 4, 500 * MS, true, true, 0.4, false, 0, true, true, false);
+    private static final Limits RATION = new Limits(0, 0, 0, 0, 0, 0, 0, 0.1, 10_000 * MS);
+
+    private static Report inHand(double queries) {
+        return new Report(Double.NaN, Double.NaN, Double.NaN, Double.NaN, queries);
+    }
+
+    private static Router router(int position, Limits limits, double queriesInHand) {
+        Router r = new Router(new Settings(7 + position, GATEWAYS, position, "z1",
+                List.of(look("look"), report(Set.of(), Set.of())), List.of(new Gateway.EngineKind("big", 8, 8_000)),
+                NO_NOTES, limits));
+        r.engines("a", "b");
+        tell(r, queriesInHand);
+        return r;
+    }
+
+    private static void tell(Router r, double queriesInHand) {
+        for (String e : List.of("a", "b")) {
+            r.reports.put(e, inHand(queriesInHand));
+            r.on(new Probed(e, Outcome.SERVED, MS, inHand(queriesInHand)));
+        }
+        r.pass(60); // one round of house-keeping takes it up
+    }
+
+    private static int reportsSentInASecond(double queriesInHand) {
+        int sent = 0;
+        for (int g = 0; g < GATEWAYS; g++) {
+            Router r = router(g, LIMITS, queriesInHand);
+            r.ask(1, "report", null, 2_000);
+            r.pass(1_000);
+            sent += r.sends().size();
+        }
+        return sent;
+    }
+
+    @Test
+    void inACrowdNotEveryGatewayLetsOneIn() {
+        assertEquals(GATEWAYS, reportsSentInASecond(1));
+        int crowded = reportsSentInASecond(40);
+        assertTrue(crowded > 0 && crowded < GATEWAYS / 2, crowded + " sent");
+        assertTrue(reportsSentInASecond(160) < crowded, "limits shrink in proportion");
+    }
+
+    @Test
+    void lookUpsKeepTheirLaneBesideALongQuery() {
+        Router r = router(0, LIMITS, 1);
+        r.ask(1, "report", null, 20_000);
+        assertEquals(1, r.sends().size());
+        tell(r, 60);
+        r.ask(2, "look", null, 20);
+        assertEquals(List.of(1L, 2L), r.sends().stream().map(Send::id).toList());
+        r.ask(3, "look", null, 20);
+        assertEquals(2, r.sends().size(), "the lane holds this gateway's part, not all its look-ups");
+    }
+
+    @Test
+    void aLongRunnerWithoutNotesIsStartedAgainOnceItIsLate() {
+        Router r = router(0, LIMITS, 1);
+        for (int i = 10; i < 20; i++) {
+            r.ask(i, "report", null, 1_000);
+            r.end(i, 0, r.sends().get(i - 10).engine(), Outcome.SERVED, 500);
+        }
+        String engine = enginesOf(r.ask(1, "report", null, 1_000)).get(0);
+        for (int s = 0; s < 5; s++) {
+            assertTrue(only(Cancel.class, r.pass(1_000)).isEmpty(), "not while it can be in time");
+            r.end(77, 0, engine, Outcome.SERVED, 5); // the engine is not silent
+        }
+        assertEquals(List.of(new Cancel(1, 0)), only(Cancel.class, r.pass(1_500)));
+    }
+
+    @Test
+    void aQueryOutOfItsRationKeepsNoOtherBack() {
+        Router r = router(0, RATION, 1);
+        r.ask(1, "report", null, 1_000);
+        r.end(1, 0, r.sends().get(0).engine(), Outcome.ERROR, 10);
+        assertEquals(1, r.sends().size(), "one query earns a tenth of a further attempt");
+        r.ask(2, "report", null, 1_500);
+        assertEquals(List.of(1L, 2L), r.sends().stream().map(Send::id).toList());
+    }
+
+    @Test
+    void whatWasTakenEarnsFurtherAttemptsForTheSpanAndNoLonger() {
+        for (int late = 0; late < 2; late++) {
+            Router r = router(0, RATION, 1);
+            for (int i = 0; i < 10; i++) {
+                r.ask(i, "look", null, 10);
+                r.end(i, 0, r.sends().get(i).engine(), Outcome.SERVED, 10);
+            }
+            r.pass(9_900 + 200L * late);
+            r.ask(99, "look", null, 10);
+            int before = r.sends().size();
+            r.end(99, 0, r.sends().get(before - 1).engine(), Outcome.ERROR, 10);
+            assertEquals(before + 1 - late, r.sends().size());
+        }
+    }
+
+    @Test
+    void withoutEstimatesTheWorkIsLearntFromAnswers() {
+        Router r = new Router(new Settings(7, 4, 0, "z1", List.of(look("look"), report(Set.of(), Set.of())),
+                List.of(new Gateway.EngineKind("big", 8, 8_000)), NO_NOTES, LIMITS)).engines("a");
+        long id = 0;
+        for (; id < 200; id++) {
+            r.on(new Request(id, "look", null, 1, r.now + 3_000 * MS, 0, 0));
+            r.on(new Ended(id, 0, "a", Outcome.SERVED, 20 * MS, true, 10, 40, inHand(1)));
+        }
+        // The engine starts anew: by the prior of 500 ms it bears little, by the learnt 10 ms many.
+        r.list(ListForm.CHANGES, entry("a", "z1", "big", Phase.READY, r.now));
+        int before = r.sends().size();
+        for (int i = 0; i < 8; i++) {
+            r.on(new Request(++id, "look", null, 1, r.now + 3_000 * MS, 0, 0));
+        }
+        assertEquals(before + 8, r.sends().size());
+    }
+
+    @Test
+    void widelyScatteredTimesAreNoPressure() {
+        Router r = router(0, LIMITS, 1);
+        for (int i = 0; i < 300; i++) {
+            r.ask(i, "look", null, 100);
+            r.end(i, 0, r.sends().get(i).engine(), Outcome.SERVED, i % 2 == 0 ? 60 : 600, inHand(1));
+            r.pass(200);
+        }
+        r.ask(1_000, "report", null, 1_000);
+        r.pass(300);
+        r.ask(1_001, "report", null, 1_000);
+        assertEquals(2, r.sends().size() - 300, "the bound does not bind while no engine is pressed");
+        assertFalse(enginesOf(r.actions).isEmpty());
+    }
+}
--- a/src/test/java/ashlink/drill/CodecTest.java
+++ b/src/test/java/ashlink/drill/CodecTest.java
@@ -50,6 +50,11 @@
                 + "relation=k.1 data-group=3 drop-dead-ns=900 guess-ns=700 want-mb=12.5 unheard-of=1"));
     }
 
+    @Test
+    void readsTheQueriesInHandAndBusyDisks() {
+        assertEquals(new Report(Double.NaN, Double.NaN, Double.NaN, 0.7, 12), Codec.report("busy_reqs:12,x1:0.7"));
+    }
+
     @Test
     void readsAnOutcomeWithItsNoteAndReport() {
         assertEquals(new Ended(5, 2, "h:1", Outcome.SERVED, 40, true, 17, 8, new Report(3, Double.NaN, 0.5, Double.NaN)),
