--- a/src/main/java/ashlink/Gateway.java
+++ b/src/main/java/ashlink/Gateway.java
@@ -74,9 +74,18 @@
     record Limits(long drainGraceNs, double coldFrom, long coldNs, double coldMultiple, long coldWindowNs,
             long keyRestNs, double freeResends, double resendsPerRequest, long budgetSpanNs) { }
 
-    /** All that a gateway is told at its start. */
+    /** A tenant: queries a second, over all gateways, that are within its share; 0 is no such limit. */
+    record Tenant(String name, double quotaPerS) { }
+
+    /** All that a gateway is told at its start; {@code overShareWorth} is what a query beyond a share earns. */
     record Settings(long seed, int gateways, int position, String zone, List<QueryClass> classes,
-            List<EngineKind> kinds, Allowed allowed, Limits limits) {
+            List<EngineKind> kinds, Allowed allowed, Limits limits, List<Tenant> tenants, double overShareWorth) {
+
+        /** Settings of a site without tenants. */
+        public Settings(long seed, int gateways, int position, String zone, List<QueryClass> classes,
+                List<EngineKind> kinds, Allowed allowed, Limits limits) {
+            this(seed, gateways, position, zone, classes, kinds, allowed, limits, List.of(), 1);
+        }
 
         /** Checks what the decisions rest on; an invalid setting is named in the exception. */
         public Settings {
@@ -93,6 +102,11 @@
             }
             require(allowed.attempts() > 0, "allowed.attempts", allowed.attempts());
             require(limits.coldFrom() >= 0, "limits.coldFrom", limits.coldFrom());
+            require(limits.resendsPerRequest() >= 0, "limits.resendsPerRequest", limits.resendsPerRequest());
+            for (Tenant t : tenants) {
+                require(t.quotaPerS() >= 0, t.name() + ".quotaPerS", t.quotaPerS());
+            }
+            tenants = List.copyOf(tenants);
             classes = List.copyOf(classes);
             kinds = List.copyOf(kinds);
         }
@@ -130,7 +144,14 @@
      * estimates, 0 where there are none.
      */
     record Request(long id, String queryClass, String key, long tables, long deadlineNs, long workNs,
-            double memoryMb) implements Event { }
+            double memoryMb, String tenant) implements Event {
+
+        /** A query of no tenant. */
+        public Request(long id, String queryClass, String key, long tables, long deadlineNs, long workNs,
+                double memoryMb) {
+            this(id, queryClass, key, tables, deadlineNs, workNs, memoryMb, "");
+        }
+    }
 
     /** The client no longer waits; no answer is owed. */
     record ClientGone(long id) implements Event { }
--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -7,6 +7,7 @@
 import ashlink.State.Ghost;
 import ashlink.State.KeyLine;
 import ashlink.State.Query;
+import ashlink.State.TenantFacts;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -79,6 +80,8 @@
     private static final double USUAL_STEP = 0.05;
     /** Log of the upper quartile over the usual one up to which times are even (2 times). */
     private static final double SPREAD_LOG = Math.log(2);
+    /** Nanoseconds in which what a tenant sent fades: shorter spans hold too few queries of one gateway. */
+    private static final long TENANT_FADE_NS = 5_000 * MS;
     /** Share of the cold budget that is used: estimates lie, and other gateways round up too. */
     private static final double COLD_MARGIN = 0.6;
     /** Share of a cold window that may be saved up; queries that the engine must bear for one by chance. */
@@ -129,6 +132,7 @@
     private final Map<String, Engine> engines = new LinkedHashMap<>();
     private final Map<Long, Query> queries = new LinkedHashMap<>();
     private final Map<Long, List<Engine>> homesOf = new HashMap<>();
+    private final Map<String, TenantFacts> tenants = new HashMap<>();
     private final Map<String, KeyLine> keys = new HashMap<>();
     private final TreeSet<Query> held = new TreeSet<>(Rules::releaseOrder);
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
@@ -157,6 +161,8 @@
         this.random = new SplittableRandom(settings.seed());
         this.apart = settings.classes().stream().anyMatch(QueryClass::holdsTables)
                 && settings.classes().stream().anyMatch(QueryClass::waitsForTables);
+        settings.tenants().stream().filter(t -> t.quotaPerS() > 0)
+                .forEach(t -> tenants.put(t.name(), new TenantFacts(t.quotaPerS())));
         for (QueryClass c : settings.classes()) {
             classes.put(c.name(), new ClassFacts(c));
             boundKinds.addAll(c.kinds());
@@ -208,9 +214,12 @@
             cls.meanEstimateMs += weight * (estimate - cls.meanEstimateMs);
         }
         probes = Math.min(PROBES_SAVED, probes + PROBES_PER_QUERY);
-        KeyLine line = cls.spec.inOrder() && r.key() != null
-                ? keys.computeIfAbsent(r.key(), k -> new KeyLine()) : null;
-        Query q = new Query(r, cls, line, sequence++, estimate, estimate * Math.exp(cls.usualLog), now);
+        boolean inOrder = cls.spec.inOrder() && r.key() != null;
+        KeyLine line = inOrder ? keys.computeIfAbsent(r.key(), k -> new KeyLine()) : null;
+        double part = tenants.containsKey(r.tenant()) ? worthOf(tenants.get(r.tenant())) : 1;
+        double worth = cls.spec.worth() * part;
+        double work = estimate * Math.exp(cls.usualLog);
+        Query q = new Query(r, cls, line, sequence++, estimate, work, worth, now);
         queries.put(q.id, q);
         if (line != null) {
             line.waiting.add(q);
@@ -220,6 +229,15 @@
         answerIfDue(q);
     }
 
+    /** Guards tenants within their share against one beyond it, by our part of the quota: it leaves later. */
+    private double worthOf(TenantFacts t) {
+        t.count = 1 + t.count * Math.exp(-(now - t.lastNs) / (double) TENANT_FADE_NS);
+        t.lastNs = now;
+        double quota = t.quotaPerS * (share + 1.0 / settings.gateways()) / 2 * TENANT_FADE_NS / (1_000 * MS);
+        double within = Math.min(1, quota / t.count);
+        return within + (1 - within) * settings.overShareWorth();
+    }
+
     /** Mean work of a class, on the safe side: estimated, or told by answers where none are given. */
     private static double usualMs(ClassFacts c) {
         double estimated = c.meanEstimateMs * Math.max(1, Math.exp(c.usualLog));
@@ -328,10 +346,7 @@
         }
     }
 
-    /**
-     * Guards readers against standing still behind loads of their tables: all gateways hash a group to the
-     * same engines, load it there and read it elsewhere.
-     */
+    /** Guards readers from standing behind loads: all gateways load a group on one half of the engines. */
     private List<Engine> homes(long tables) {
         List<Engine> ready = ready();
         ready.sort(Comparator.comparingLong((Engine e) -> new SplittableRandom(
@@ -816,12 +831,7 @@
         double throughput = b.completions / (double) Math.max(1, length);
         double response = b.responseSumNs / b.completions;
         step(b, throughput, response);
-        b.lastThroughput = throughput;
-        b.lastResponseNs = response;
-        b.completions = 0;
-        b.responseSumNs = 0;
-        b.periodStartNs = now;
-        b.periodHeld = false;
+        b.startPeriod(throughput, response, now);
     }
 
     /** While queries are held: a step up stays only if throughput gained; else the bound drifts down. */
@@ -848,14 +858,13 @@
     private void judge(Engine e, Outcome outcome) {
         boolean sign = Set.of(Outcome.SERVED, Outcome.ERROR, Outcome.TURNED_AWAY).contains(outcome);
         e.heardNs = sign ? now : e.heardNs;
-        switch (outcome) {
-            case SERVED, ERROR -> e.avoidNs = 0;
-            case TURNED_AWAY -> {
-                e.fullNs = now;
-                e.bound.fullNs = now;
-            }
-            case NO_CONNECTION, RESET -> avoid(e);
-            default -> { }
+        if (outcome == Outcome.SERVED || outcome == Outcome.ERROR) {
+            e.avoidNs = 0;
+        } else if (outcome == Outcome.TURNED_AWAY) {
+            e.fullNs = now;
+            e.bound.fullNs = now;
+        } else if (outcome == Outcome.NO_CONNECTION || outcome == Outcome.RESET) {
+            avoid(e);
         }
     }
 
@@ -941,9 +950,9 @@
             boolean late = now + q.usualNs() >= q.aimNs();
             if (held.contains(q) && late && (contended || q.cls.spec.lateShare() == 0)) {
                 answer(q); // given up for those that can still be in time
-            } else if (held.contains(q) && late && q.worth == q.cls.spec.worth()) {
+            } else if (held.contains(q) && late && q.worth == q.fullWorth) {
                 held.remove(q);
-                q.worth = q.cls.spec.worth() * q.cls.spec.lateShare();
+                q.worth = q.fullWorth * q.cls.spec.lateShare();
                 held.add(q);
             }
         }
--- a/src/main/java/ashlink/State.java
+++ b/src/main/java/ashlink/State.java
@@ -52,6 +52,8 @@
         final double workMs;
         final double memoryMb;
         final boolean estimated;
+        /** What it earns in time, and what it may still earn now. */
+        final double fullWorth;
         double worth;
         boolean over;
         /** Engine of the attempt that is out, and what the list said of it when it was sent. */
@@ -73,7 +75,8 @@
         ListEntry mayHaveRunOn;
         long mayHaveRunNs;
 
-        Query(Request r, ClassFacts cls, KeyLine line, long seq, double estimateMs, double workMs, long now) {
+        Query(Request r, ClassFacts cls, KeyLine line, long seq, double estimateMs, double workMs, double worth,
+                long now) {
             this.id = r.id();
             this.cls = cls;
             this.line = line;
@@ -85,7 +88,8 @@
             this.workMs = workMs;
             this.memoryMb = r.memoryMb();
             this.estimated = r.workNs() > 0;
-            this.worth = cls.spec.worth();
+            this.fullWorth = worth;
+            this.worth = worth;
         }
 
         /** Time that it usually takes. */
@@ -108,6 +112,17 @@
     /** An attempt that was given up and may run on. */
     record Ghost(long untilNs, Query of) { }
 
+    /** What a tenant sent lately: a count that fades, and when it was the last. */
+    static final class TenantFacts {
+        final double quotaPerS;
+        double count;
+        long lastNs = NEVER;
+
+        TenantFacts(double quotaPerS) {
+            this.quotaPerS = quotaPerS;
+        }
+    }
+
     /** One bound on threads, and the period that moves it. */
     static final class Bound {
         int cores;
@@ -122,6 +137,15 @@
         double lastResponseNs;
         boolean periodHeld;
         long fullNs = NEVER;
+
+        void startPeriod(double throughput, double response, long now) {
+            lastThroughput = throughput;
+            lastResponseNs = response;
+            completions = 0;
+            responseSumNs = 0;
+            periodStartNs = now;
+            periodHeld = false;
+        }
     }
 
     /** An engine that the list has named. */
--- a/src/main/java/ashlink/drill/Codec.java
+++ b/src/main/java/ashlink/drill/Codec.java
@@ -65,7 +65,7 @@
         return switch (name) {
             case "INGRESS" -> new Request(f.whole("op-id"), f.needed("class"), f.text("relation"),
                     f.whole("data-group", 0), f.whole("drop-dead-ns"), f.whole("guess-ns", 0),
-                    f.number("want-mb", 0));
+                    f.number("want-mb", 0), f.text("tenant", ""));
             case "CLIENT_GONE" -> new ClientGone(f.whole("op-id"));
             case "UPDATE_OF" -> new Progress(f.whole("op-id"), (int) f.whole("shot", 0), f.needed("engine"),
                     noteKind(f.whole("sort")), f.number("amount", 0));
--- a/src/main/java/ashlink/drill/SettingsReader.java
+++ b/src/main/java/ashlink/drill/SettingsReader.java
@@ -7,6 +7,7 @@
 import ashlink.Gateway.QueryClass;
 import ashlink.Gateway.RepeatGroup;
 import ashlink.Gateway.Settings;
+import ashlink.Gateway.Tenant;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -32,7 +33,18 @@
 
     private Settings settings() {
         return new Settings(fields.whole("nonce64"), (int) fields.whole("balancers"),
-                (int) fields.whole("position", 0), fields.text("zone", ""), classes(), kinds(), allowed(), limits());
+                (int) fields.whole("position", 0), fields.text("zone", ""), classes(), kinds(), allowed(), limits(),
+                tenants(), fields.number("over-share-worth", 1));
+    }
+
+    private List<Tenant> tenants() {
+        List<Tenant> tenants = new ArrayList<>();
+        long count = fields.whole("parties.count", 0);
+        for (int i = 0; i < count; i++) {
+            String at = "parties." + i + ".";
+            tenants.add(new Tenant(fields.needed(at + "name"), fields.number(at + "quota-per-s", 0)));
+        }
+        return tenants;
     }
 
     private List<QueryClass> classes() {
--- a/src/test/java/ashlink/CrowdTest.java
+++ b/src/test/java/ashlink/CrowdTest.java
@@ -129,6 +129,23 @@
         }
     }
 
+    @Test
+    void whatATenantSendsBeyondItsShareLeavesLater() {
+        Router r = new Router(new Settings(7, 1, 0, "z1", List.of(report(Set.of(), Set.of())),
+                List.of(new Gateway.EngineKind("big", 8, 8_000)), NO_NOTES, LIMITS,
+                List.of(new Gateway.Tenant("loud", 2), new Gateway.Tenant("calm", 2)), 0.2)).engines();
+        for (int i = 0; i < 60; i++) {
+            r.on(new Request(i, "report", null, 1, r.now + 20_000 * MS, 1_000 * MS, 100, "loud"));
+        }
+        r.on(new Request(99, "report", null, 1, r.now + 20_000 * MS, 1_000 * MS, 100, "calm"));
+        r.on(new Request(100, "report", null, 1, r.now + 20_000 * MS, 1_000 * MS, 100, "unlisted"));
+        r.engines("a");
+        List<Long> first = r.sends().stream().map(Send::id).toList();
+        assertEquals(List.of(0L, 1L), first.subList(0, 2)); // what came first was within the share
+        assertTrue(first.contains(99L) && first.contains(100L), "sent: " + first);
+        assertTrue(first.size() < 62, "not all find room");
+    }
+
     @Test
     void withoutEstimatesTheWorkIsLearntFromAnswers() {
         Router r = new Router(new Settings(7, 4, 0, "z1", List.of(look("look"), report(Set.of(), Set.of())),
--- a/src/test/java/ashlink/drill/CodecTest.java
+++ b/src/test/java/ashlink/drill/CodecTest.java
@@ -50,6 +50,13 @@
                 + "relation=k.1 data-group=3 drop-dead-ns=900 guess-ns=700 want-mb=12.5 unheard-of=1"));
     }
 
+    @Test
+    void readsTenantsAndNamesANegativeQuota() throws IOException {
+        assertEquals("gold", ((Request) event("INGRESS router-id=1 op-id=5 class=q drop-dead-ns=900 tenant=gold")).tenant());
+        assertTrue(play("SYNC moment-ns=1\n" + START + " parties.count=1 parties.0.name=gold "
+                + "parties.0.quota-per-s=-2\nEND\n").contains("gold.quotaPerS"));
+    }
+
     @Test
     void readsTheQueriesInHandAndBusyDisks() {
         assertEquals(new Report(Double.NaN, Double.NaN, Double.NaN, 0.7, 12), Codec.report("busy_reqs:12,x1:0.7"));
