--- a/src/main/java/ashlink/Rules.java
+++ b/src/main/java/ashlink/Rules.java
@@ -214,8 +214,8 @@
             cls.meanEstimateMs += weight * (estimate - cls.meanEstimateMs);
         }
         probes = Math.min(PROBES_SAVED, probes + PROBES_PER_QUERY);
-        boolean inOrder = cls.spec.inOrder() && r.key() != null;
-        KeyLine line = inOrder ? keys.computeIfAbsent(r.key(), k -> new KeyLine()) : null;
+        boolean ordered = cls.spec.inOrder() && r.key() != null;
+        KeyLine line = ordered ? keys.computeIfAbsent(r.key(), k -> new KeyLine()) : null;
         double part = tenants.containsKey(r.tenant()) ? worthOf(tenants.get(r.tenant())) : 1;
         double worth = cls.spec.worth() * part;
         double work = estimate * Math.exp(cls.usualLog);
@@ -490,9 +490,10 @@
         return sum / (weight + 1);
     }
 
-    /** A time far over the usual one tells less where times scatter widely: without estimates they do. */
+    /** A time far over the usual tells less where times scatter, unless slow engines may be the cause. */
     private static double evenness(ClassFacts c) {
-        return Math.min(1, SPREAD_LOG / Math.max(1e-3, c.spreadLog));
+        boolean untold = c.estimates > 0 && c.told == 0;
+        return untold ? 1 : Math.min(1, SPREAD_LOG / Math.max(1e-3, c.spreadLog));
     }
 
     // ---- The one send path: the rules are kept here
@@ -792,7 +793,7 @@
         double stretch = Math.log(Math.max(1e-3,
                 end.tookNs() / (double) MS * q.cls.spec.threads() / Math.max(1e-3, q.estimateMs)));
         if (!pressed(e)) { // a jam must not become the usual, nor the lucky ones that pass it
-            double step = Math.max(USUAL_STEP, 1.0 / ++q.cls.lessons);
+            double step = q.estimated ? USUAL_STEP : Math.max(USUAL_STEP, 1.0 / ++q.cls.lessons);
             double upper = q.cls.usualLog + q.cls.spreadLog;
             q.cls.usualLog += step * (stretch < q.cls.usualLog ? USUAL_QUANTILE - 1 : USUAL_QUANTILE);
             upper += step * (stretch < upper ? -USUAL_QUANTILE : 1 - USUAL_QUANTILE);
@@ -815,7 +816,6 @@
         }
     }
 
-    /** Moves the correction to where a set share of the class's queries fits. */
     private void learnGrant(Query q, double needMb) {
         double off = Math.log(Math.max(1e-3, needMb / q.memoryMb / q.cls.memoryBias));
         double by = GRANT_LEARN * (off > 0 ? GRANT_QUANTILE : GRANT_QUANTILE - 1);
--- a/src/test/java/ashlink/CrowdTest.java
+++ b/src/test/java/ashlink/CrowdTest.java
@@ -103,6 +103,22 @@
         assertEquals(List.of(new Cancel(1, 0)), only(Cancel.class, r.pass(1_500)));
     }
 
+    @Test
+    void busyDisksAndManyQueriesInHandArePressure() {
+        for (Report busy : List.of(new Report(Double.NaN, Double.NaN, Double.NaN, 0.99, 1), inHand(12), inHand(1))) {
+            Router r = router(0, LIMITS, 1);
+            for (String e : List.of("a", "b")) {
+                r.reports.put(e, busy);
+                r.on(new Probed(e, Outcome.SERVED, MS, busy));
+            }
+            r.pass(60);
+            for (int i = 0; i < 6; i++) {
+                r.ask(i, "report", null, 2_000);
+            }
+            assertEquals(busy.equals(inHand(1)) ? 6 : 1, r.sends().size(), busy.toString());
+        }
+    }
+
     @Test
     void aQueryOutOfItsRationKeepsNoOtherBack() {
         Router r = router(0, RATION, 1);
@@ -169,7 +185,8 @@
         Router r = router(0, LIMITS, 1);
         for (int i = 0; i < 300; i++) {
             r.ask(i, "look", null, 100);
-            r.end(i, 0, r.sends().get(i).engine(), Outcome.SERVED, i % 2 == 0 ? 60 : 600, inHand(1));
+            r.on(new Ended(i, 0, r.sends().get(i).engine(), Outcome.SERVED, (i % 2 == 0 ? 60 : 600) * MS, true, 100, 40,
+                    inHand(1)));
             r.pass(200);
         }
         r.ask(1_000, "report", null, 1_000);
