--- a/capture/src/test/java/ashlink/capture/CaptureTest.java
+++ b/capture/src/test/java/ashlink/capture/CaptureTest.java
@@ -145,6 +145,34 @@
         assertEquals(List.of(0L, 0L, 0L, 0L, 0L, 0L, 0L, 0L), differing);
     }
 
+    @Test
+    void aPartFromTheStartReplaysAndAPartFromTheMiddleSaysThatItCannot() throws Exception {
+        List<Entry> day = day(3, 4_000);
+        FaultyDisk whole = written(day, 64 << 10);
+        FaultyDisk head = new FaultyDisk();
+        try (CaptureCut cut = new CaptureCut(head, 42, 0, 1_500)) {
+            new CaptureReader(whole).read(cut);
+        }
+        Replay replay = new Replay(Rules::new, ModuleHash.of(Rules.class));
+        new CaptureReader(head).read(replay);
+        assertEquals(1_499, replay.decided());
+        assertEquals(0, replay.differing());
+
+        FaultyDisk middle = new FaultyDisk();
+        try (CaptureCut cut = new CaptureCut(middle, 42, 1_000, 500)) {
+            new CaptureReader(whole).read(cut);
+        }
+        List<Entry> part = read(middle);
+        assertEquals(day.get(0), part.get(0));
+        assertEquals(new Entry.Gap(999), part.get(1));
+        assertTrue(read(whole).subList(1_000, 1_500).equals(part.subList(2, part.size())), "the part is as it was");
+        Replay none = new Replay(Rules::new, ModuleHash.of(Rules.class));
+        part.forEach(none);
+        assertEquals(0, none.decided());
+        assertEquals(500, none.passedOver());
+        assertThrows(IOException.class, () -> new CaptureCut(middle, 42, 0, 1), "a capture is not written over");
+    }
+
     @Test
     void anotherModuleIsSeenToDecideOtherwise() throws Exception {
         FaultyDisk disk = written(day(2, 3_000), 1 << 20);
--- a/cli/src/main/java/ashlink/cli/CaptureCommand.java
+++ b/cli/src/main/java/ashlink/cli/CaptureCommand.java
@@ -1,8 +1,10 @@
 package ashlink.cli;
 
+import ashlink.capture.CaptureCut;
 import ashlink.capture.CaptureReader;
 import ashlink.capture.CaptureSummary;
 import ashlink.capture.JsonExport;
+import ashlink.capture.events.Entry;
 import ashlink.capture.log.FolderDisk;
 import ashlink.capture.log.Segment;
 import ashlink.report.CaptureReport;
@@ -16,9 +18,9 @@
 import picocli.CommandLine.Parameters;
 
 /** Looks at captures. */
-@Command(name = "capture", mixinStandardHelpOptions = true, description = "Lists, verifies and exports captures.",
+@Command(name = "capture", mixinStandardHelpOptions = true, description = "Lists, shows, verifies, cuts and exports captures.",
         subcommands = {CaptureCommand.List_.class, CaptureCommand.Verify.class, CaptureCommand.Export.class,
-            CaptureCommand.Report.class})
+            CaptureCommand.Report.class, CaptureCommand.Cut.class, CaptureCommand.Show.class})
 final class CaptureCommand implements Callable<Integer> {
 
     @picocli.CommandLine.Spec
@@ -26,7 +28,7 @@
 
     @Override
     public Integer call() {
-        throw new picocli.CommandLine.ParameterException(spec.commandLine(), "ls, verify or export is missing");
+        throw new picocli.CommandLine.ParameterException(spec.commandLine(), "ls, show, verify, cut, export or report is missing");
     }
 
     private static List<CaptureReader.Found> found(Path folder) throws Exception {
@@ -94,6 +96,68 @@
         }
     }
 
+    /** Writes a part as a capture of its own. */
+    @Command(name = "cut", mixinStandardHelpOptions = true, description = "Writes a part of a capture as one of its own; "
+            + "it replays if it begins with a start of the router.")
+    static final class Cut implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "CAPTURE")
+        private Path folder;
+
+        @Parameters(index = "1", paramLabel = "FOLDER", description = "Where the part goes: a folder without a capture.")
+        private Path to;
+
+        @picocli.CommandLine.Option(names = "--from", description = "Number of the first entry, 0 for the first of the folder.")
+        private long from;
+
+        @picocli.CommandLine.Option(names = "--count", description = "Entries at most.")
+        private long count = Long.MAX_VALUE;
+
+        @Override
+        public Integer call() throws Exception {
+            List<CaptureReader.Found> segments = found(folder);
+            long boot = segments.isEmpty() ? 0 : segments.get(0).boot();
+            long written;
+            Files.createDirectories(to);
+            try (FolderDisk disk = FolderDisk.writing(to); CaptureCut cut = new CaptureCut(disk, boot, from, count)) {
+                new CaptureReader(FolderDisk.reading(folder)).read(cut);
+                written = cut.written();
+            }
+            System.out.println(written + " entries written to " + to);
+            return written > 0 ? 0 : 1;
+        }
+    }
+
+    /** Prints entries for people. */
+    @Command(name = "show", mixinStandardHelpOptions = true, description = "Prints entries: number, time, event, actions.")
+    static final class Show implements Callable<Integer> {
+        @Parameters(paramLabel = "CAPTURE")
+        private Path folder;
+
+        @picocli.CommandLine.Option(names = "--from", description = "Number of the first entry, 0 for the first of the folder.")
+        private long from;
+
+        @picocli.CommandLine.Option(names = "--count", description = "Entries at most, ${DEFAULT-VALUE} if not given.")
+        private long count = 100;
+
+        @Override
+        public Integer call() throws Exception {
+            long[] number = new long[1];
+            new CaptureReader(FolderDisk.reading(folder)).read(e -> {
+                long n = number[0]++;
+                if (n < from || n - from >= count) {
+                    return;
+                }
+                if (e instanceof Entry.Step s) {
+                    System.out.printf("%8d %14.3f ms  %s%n", n, s.nowNs() / 1e6, s.event());
+                    s.actions().forEach(a -> System.out.println(" ".repeat(28) + "-> " + a));
+                } else {
+                    System.out.printf("%8d %s%n", n, e);
+                }
+            });
+            return 0;
+        }
+    }
+
     /** Writes a report. */
     @Command(name = "report", mixinStandardHelpOptions = true, description = "Writes a page of a capture: counts and plots.")
     static final class Report implements Callable<Integer> {
