--- a/cli/src/test/java/ashlink/cli/ArchitectureTest.java
+++ b/cli/src/test/java/ashlink/cli/ArchitectureTest.java
@@ -21,12 +21,16 @@
             .layer("config").definedBy("ashlink.config..")
             .layer("sql").definedBy("ashlink.sql..")
             .layer("capture").definedBy("ashlink.capture..")
+            .layer("background").definedBy("ashlink.background..")
             .layer("report").definedBy("ashlink.report..")
             .layer("core").definedBy("ashlink.router.core..")
             .layer("list").definedBy("ashlink.router.list..")
             .layer("classify").definedBy("ashlink.router.classify..")
             .layer("upstream").definedBy("ashlink.router.upstream..")
             .layer("front").definedBy("ashlink.router.front..")
+            .layer("statement").definedBy("ashlink.router.statement..")
+            .layer("spool").definedBy("ashlink.router.spool..")
+            .layer("http").definedBy("ashlink.router.http..")
             .layer("assembly").definedBy("ashlink.router")
             .layer("standin").definedBy("ashlink.standin..")
             .layer("rig").definedBy("ashlink.rig..")
@@ -39,6 +43,10 @@
             .whereLayer("list").mayOnlyAccessLayers("decisions", "config")
             .whereLayer("classify").mayOnlyAccessLayers("decisions", "config", "sql")
             .whereLayer("sql").mayNotAccessAnyLayer()
+            .whereLayer("background").mayNotAccessAnyLayer()
+            .whereLayer("statement").mayOnlyAccessLayers("core")
+            .whereLayer("spool").mayOnlyAccessLayers("capture", "core", "statement", "wire")
+            .whereLayer("http").mayOnlyAccessLayers("background", "capture", "config", "core", "front", "spool", "statement", "wire")
             .whereLayer("report").mayOnlyAccessLayers("capture")
             .whereLayer("capture").mayOnlyAccessLayers("decisions")
             .whereLayer("upstream").mayOnlyAccessLayers("decisions", "config", "wire", "core", "list")
@@ -54,7 +62,7 @@
     /** What decides has no I/O, clock or unseeded randomness. */
     @ArchTest
     static final ArchRule DECISIONS_ARE_PURE = noClasses().that().resideInAnyPackage("ashlink", "ashlink.router.classify..",
-            "ashlink.sql..", "ashlink.standin.model..").should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.io..",
+            "ashlink.sql..", "ashlink.standin.model..", "ashlink.background.plan..", "ashlink.router.statement..").should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.io..",
             "java.nio.file..", "java.time..").orShould().callMethod(System.class, "nanoTime")
             .orShould().callMethod(System.class, "currentTimeMillis");
 
--- a/config/src/main/java/ashlink/config/RouterConfig.java
+++ b/config/src/main/java/ashlink/config/RouterConfig.java
@@ -22,7 +22,7 @@
         Map<String, QueryClass> classes, List<ClassRule> rules, String defaultClass, String defaultWriteClass,
         Map<String, UserSpec> users, List<Tenant> tenants, double overShareWorth, Allowed allowed, Limits limits,
         Gauges gauges, EngineLogin engineLogin,
-        CaptureSpec capture) {
+        CaptureSpec capture, HttpSpec http) {
 
     /** An engine of the list. */
     public record EngineSpec(String name, InetSocketAddress address, String zone, String kind, long cell, Phase phase) { }
@@ -37,6 +37,27 @@
      */
     public record CaptureSpec(Path dir, long segmentBytes, long keptBytes, int queue, long syncNs, String keySecret) { }
 
+    /**
+     * The statement API over HTTP; {@code listen} null: there is none. docs/operating.md has each setting.
+     *
+     * @param spool folder for results, null: they stay in memory
+     * @param pageBytes raw bytes of a result after which a page is full
+     * @param memoryBytes raw bytes of a statement's result that are kept in memory
+     * @param memoryAllBytes the same of all statements
+     * @param spoolStatement bytes of a result on disk that its client has not let go of
+     * @param unpolledNs a statement under way that nobody asks for is called off after that
+     * @param keptNs a result that nobody fetches is dropped after that
+     * @param lingerNs a result whose last page was fetched is dropped after that
+     * @param tombstoneNs time for which a dropped statement is answered as gone
+     * @param renderBytes bytes of answers on their way to clients at once
+     * @param peers addresses of the other routers by name, for polls that reach the wrong one
+     */
+    public record HttpSpec(InetSocketAddress listen, Path spool, long pageBytes, long memoryBytes, long memoryAllBytes,
+            long spoolStatement, long spoolUser, long spoolAll, int open, int openUser, long unpolledNs, long keptNs,
+            long lingerNs, int tombstones, long tombstoneNs, long longestWaitNs, long bodyBytes, int headerBytes,
+            int connections, long headerNs, long bodyNs, long idleNs, long renderBytes, int keys, long keyNs,
+            Map<String, String> peers) { }
+
     /** What the router logs in as at the engines. */
     public record EngineLogin(String user, String password) { }
 
--- a/config/src/main/java/ashlink/config/RouterConfigReader.java
+++ b/config/src/main/java/ashlink/config/RouterConfigReader.java
@@ -15,6 +15,7 @@
 import ashlink.config.RouterConfig.EngineSpec;
 import ashlink.config.RouterConfig.Gauge;
 import ashlink.config.RouterConfig.Gauges;
+import ashlink.config.RouterConfig.HttpSpec;
 import ashlink.config.RouterConfig.UserSpec;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -112,7 +113,7 @@
         Path stateDir = top.has("state-dir") ? Path.of(top.text("state-dir", "")) : null;
         return new RouterConfig(name, zone, top.whole("seed", 1L, 0, Long.MAX_VALUE / 2), gateways, position, listen,
                 metrics, stateDir, bounds(), kinds, engines, classes, rules, defaultClass, defaultWrite, users, tenants,
-                top.number("over-share-worth", 1.0, 0, 1), allowed(), limits(), gauges(), login, capture());
+                top.number("over-share-worth", 1.0, 0, 1), allowed(), limits(), gauges(), login, capture(), http());
     }
 
     private static String names(Collection<QueryClass> classes) {
@@ -263,6 +264,44 @@
         }
     }
 
+    private HttpSpec http() {
+        try (Section s = top.section("http")) {
+            long page = s.size("page", MIB, 1024, 64 * MIB);
+            HttpSpec http = new HttpSpec(s.has("listen") ? s.address("listen", null) : null,
+                    s.has("spool") ? Path.of(s.text("spool", "")) : null, page, s.size("memory", 64 * 1024L, 0, GIB),
+                    s.size("memory-all", 64 * MIB, MIB, 1024 * GIB), s.size("spool-statement", GIB, 4 * page, 1024 * 1024 * GIB),
+                    s.size("spool-user", 4 * GIB, 4 * page, 1024 * 1024 * GIB),
+                    s.size("spool-all", 16 * GIB, 4 * page, 1024 * 1024 * GIB), (int) s.whole("open", 10_000L, 1, 1_000_000),
+                    (int) s.whole("open-user", 10_000L, 1, 1_000_000), s.duration("unpolled", 30 * S, MS, HOUR),
+                    s.duration("kept", 60 * S, MS, 24 * HOUR), s.duration("linger", 10 * S, 0, HOUR),
+                    (int) s.whole("tombstones", 10_000L, 0, 1_000_000), s.duration("tombstone-time", 300 * S, 0, 24 * HOUR),
+                    s.duration("longest-wait", 30 * S, 0, HOUR), s.size("body", 16 * MIB, 1024, GIB),
+                    (int) s.size("headers", 8 * 1024L, 1024, MIB), (int) s.whole("connections", 10_000L, 1, 1_000_000),
+                    s.duration("header-time", 10 * S, MS, HOUR), s.duration("body-time", 30 * S, MS, HOUR),
+                    s.duration("idle", 60 * S, MS, HOUR), s.size("render", 64 * MIB, MIB, 1024 * GIB),
+                    (int) s.whole("keys", 100_000L, 1, 10_000_000), s.duration("key-time", 24 * HOUR, MS, 24 * 365 * HOUR),
+                    peers(s));
+            if (http.longestWaitNs() >= http.idleNs()) {
+                s.problem("idle", "a duration over longest-wait");
+            }
+            return http;
+        }
+    }
+
+    private Map<String, String> peers(Section s) {
+        Map<String, String> peers = new LinkedHashMap<>();
+        s.named("peer").forEach((name, peer) -> {
+            try (peer) {
+                String url = peer.text("url", null);
+                if (!url.isEmpty() && !url.matches("https?://[^/ ]+")) {
+                    peer.problem("url", "http://host:port or https://host:port, without a path");
+                }
+                peers.put(name, url);
+            }
+        });
+        return Map.copyOf(peers);
+    }
+
     private CaptureSpec capture() {
         try (Section s = top.section("capture")) {
             return new CaptureSpec(s.has("dir") ? Path.of(s.text("dir", "")) : null, s.size("segment", 64 * MIB, 4096, GIB),
--- /dev/null
+++ b/rig/src/test/java/ashlink/rig/HttpPeersTest.java
@@ -0,0 +1,226 @@
+package ashlink.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/** Peers that misbehave, or are many: each is bounded, and none harms the others. */
+class HttpPeersTest {
+
+    private static final String POST = "POST /v1/statements?wait=10 HTTP/1.1\r\nHost: a\r\nContent-Type: text/plain\r\n"
+            + "Content-Length: 8\r\n\r\nSELECT 1";
+
+    private static Fleet fleet(String settings) throws Exception {
+        return Fleet.of("q1:typ-a").with("(http (listen 127.0.0.1:0) " + settings + ")").start();
+    }
+
+    private static Socket connect(Fleet f) throws IOException {
+        Socket s = new Socket();
+        s.setTcpNoDelay(true);
+        s.setSoTimeout(20_000);
+        s.connect(new InetSocketAddress("127.0.0.1", f.router.httpAddress().getPort()), 10_000);
+        return s;
+    }
+
+    private static void write(Socket s, String text) throws IOException {
+        s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** All that comes until the connection ends or nothing comes for a while. */
+    private static String read(Socket s, int quietMs) throws IOException {
+        StringBuilder text = new StringBuilder();
+        s.setSoTimeout(quietMs);
+        byte[] buffer = new byte[8192];
+        InputStream in = s.getInputStream();
+        try {
+            for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+                text.append(new String(buffer, 0, n, StandardCharsets.ISO_8859_1));
+            }
+            text.append("<closed>");
+        } catch (SocketTimeoutException e) {
+            text.append("<quiet>");
+        } catch (IOException e) {
+            text.append("<reset>");
+        }
+        return text.toString();
+    }
+
+    private static void isWell(Fleet f) throws Exception {
+        assertEquals(200, new HttpPeer(f.router.httpAddress()).post("SELECT 1", "?wait=10").statusCode());
+    }
+
+    @Test
+    void headersAndBodiesOverTheLimitAreRefused() throws Exception {
+        try (Fleet f = fleet("(body 64KiB) (headers 4KiB)")) {
+            try (Socket s = connect(f)) {
+                write(s, "GET /v1/openapi.json HTTP/1.1\r\nHost: a\r\nX: " + "y".repeat(60_000));
+                assertTrue(read(s, 2_000).startsWith("HTTP/1.1 431"));
+            }
+            HttpPeer peer = new HttpPeer(f.router.httpAddress());
+            HttpResponse<String> large = peer.post("SELECT '" + "x".repeat(100_000) + "'", "");
+            assertEquals(413, large.statusCode(), large.body());
+            HttpRequest.Builder chunked = peer.request("/v1/statements").POST(HttpRequest.BodyPublishers.ofInputStream(
+                    () -> new java.io.ByteArrayInputStream(new byte[100_000])));
+            assertEquals(413, peer.send(chunked).statusCode(), "also where no length is told");
+            isWell(f);
+        }
+    }
+
+    @Test
+    void requestsThatDripInAreCutOffInTheirTime() throws Exception {
+        try (Fleet f = fleet("(header-time 400ms) (body-time 400ms)")) {
+            for (String start : new String[] {"GET /v1/openapi.json HTTP/1.1\r\nHost: a\r\nX: ",
+                "POST /v1/statements HTTP/1.1\r\nHost: a\r\nContent-Length: 10000\r\n\r\n"}) {
+                try (Socket s = connect(f)) {
+                    write(s, start);
+                    long until = System.nanoTime() + 15 * Fleet.S;
+                    boolean open = true;
+                    while (open && System.nanoTime() < until) {
+                        try {
+                            write(s, "y");
+                            Thread.sleep(50);
+                            open = s.getInputStream().available() == 0;
+                        } catch (IOException e) {
+                            open = false;
+                        }
+                    }
+                    assertTrue(!open, "a byte each 50 ms keeps it open: " + start);
+                }
+            }
+            isWell(f);
+        }
+    }
+
+    @Test
+    void oldClientsPipelinesAndHalfClosedSocketsAreServed() throws Exception {
+        try (Fleet f = fleet("")) {
+            try (Socket s = connect(f)) {
+                write(s, POST.replace("HTTP/1.1\r\nHost: a\r\n", "HTTP/1.0\r\n"));
+                String answer = read(s, 10_000);
+                assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("<closed>"), answer);
+            }
+            try (Socket s = connect(f)) {
+                write(s, POST + POST + "GET /v1/nothing HTTP/1.1\r\nHost: a\r\n\r\n");
+                String answer = read(s, 1_500);
+                int first = answer.indexOf("HTTP/1.1 200");
+                int second = answer.indexOf("HTTP/1.1 200", first + 1);
+                assertTrue(first == 0 && second > 0 && answer.indexOf("HTTP/1.1 404", second) > 0, answer);
+            }
+            try (Socket s = connect(f)) {
+                write(s, POST);
+                s.shutdownOutput();
+                assertTrue(read(s, 10_000).startsWith("HTTP/1.1 200"));
+            }
+            try (Socket s = connect(f)) {
+                write(s, "\0\1\2 garbage\r\n\r\n");
+                assertTrue(read(s, 2_000).startsWith("HTTP/1.1 400"));
+            }
+            isWell(f);
+        }
+    }
+
+    @Test
+    void badRequestsAreToldWhatIsWrong() throws Exception {
+        try (Fleet f = fleet("")) {
+            HttpPeer peer = new HttpPeer(f.router.httpAddress());
+            assertEquals(400, peer.post("  ", "").statusCode());
+            assertEquals(400, peer.post("{", "", "Content-Type", "application/json").statusCode());
+            assertEquals(400, peer.post("{\"statement\":\"SELECT 1\",\"what\":1}", "", "Content-Type", "application/json").statusCode());
+            assertEquals(400, peer.post("[".repeat(100_000), "", "Content-Type", "application/json").statusCode());
+            assertEquals(415, peer.post("SELECT 1", "", "Content-Type", "image/png").statusCode());
+            assertEquals(400, peer.post("SELECT 1", "?wait=soon").statusCode());
+            assertEquals(400, peer.post("SELECT 1", "", "Idempotency-Key", "k".repeat(300)).statusCode());
+            assertEquals(405, peer.delete("/v1/statements").statusCode());
+            assertEquals(404, peer.get("/v1/statements/../../etc").statusCode());
+            HttpResponse<String> rows = peer.post("{\"statement\":\"INSERT INTO t VALUES\",\"rows\":[[\"x\",\"y\"]]}", "?wait=10",
+                    "Content-Type", "application/json");
+            assertEquals(422, rows.statusCode(), rows.body());
+            assertTrue(rows.body().contains("row 0, column id"), rows.body());
+            assertEquals(0, f.ledger().stream().filter(e -> e.ranNs() > 0).count(), "nothing ran of all that");
+        }
+    }
+
+    @Test
+    void manyWhoWaitCostNoThreadsAndAreWokenTogether() throws Exception {
+        try (Fleet f = fleet("(open-user 20)")) {
+            HttpPeer peer = new HttpPeer(f.router.httpAddress());
+            f.engine("q1").hang(true);
+            String uri = com.fasterxml.jackson.databind.json.JsonMapper.builder().build()
+                    .readTree(peer.post("SELECT /* sim tag=w */ 1", "?max_execution_time=1.5").body()).get("nextUri").asText();
+            int before = Thread.activeCount();
+            List<Socket> sockets = new ArrayList<>();
+            for (int i = 0; i < 1_000; i++) {
+                Socket s = connect(f);
+                write(s, "GET " + uri + "?wait=30 HTTP/1.1\r\nHost: a\r\n\r\n");
+                sockets.add(s);
+            }
+            assertTrue(Thread.activeCount() - before < 100, "threads: " + (Thread.activeCount() - before));
+            for (Socket s : sockets) {
+                byte[] first = s.getInputStream().readNBytes(12);
+                String status = new String(first, StandardCharsets.ISO_8859_1);
+                assertTrue(status.equals("HTTP/1.1 503") || status.equals("HTTP/1.1 502"), status);
+                s.close();
+            }
+        }
+    }
+
+    @Test
+    void aUserOverItsLimitIsToldSoAndOthersAreNot() throws Exception {
+        try (Fleet f = fleet("(open-user 3) (unpolled 1h)")) {
+            HttpPeer peer = new HttpPeer(f.router.httpAddress());
+            f.engine("q1").hang(true);
+            for (int i = 0; i < 3; i++) {
+                assertEquals(202, peer.post("SELECT 1", "?max_execution_time=60").statusCode());
+            }
+            HttpResponse<String> over = peer.post("SELECT 1", "");
+            assertEquals(429, over.statusCode());
+            assertEquals("1", over.headers().firstValue("Retry-After").orElse(""));
+            String portal = "Basic " + java.util.Base64.getEncoder().encodeToString("portal:".getBytes());
+            assertEquals(202, peer.post("SELECT 1", "", "Authorization", portal).statusCode());
+        }
+    }
+
+    @Test
+    void oneWhoReadsNothingHoldsUpNobody() throws Exception {
+        try (Fleet f = fleet("(body-time 1s) (page 16MiB) (memory 16MiB)")) {
+            HttpPeer peer = new HttpPeer(f.router.httpAddress());
+            String statement = "SELECT /* sim rows=20000 blocks=2 width=500 */ 1";
+            List<Socket> slow = new ArrayList<>();
+            for (int i = 0; i < 2; i++) {
+                Socket s = new Socket();
+                s.setReceiveBufferSize(4096);
+                s.connect(new InetSocketAddress("127.0.0.1", f.router.httpAddress().getPort()), 10_000);
+                write(s, "POST /v1/statements?wait=10 HTTP/1.1\r\nHost: a\r\nContent-Length: " + statement.length() + "\r\n\r\n" + statement);
+                slow.add(s);
+            }
+            List<CompletableFuture<HttpResponse<String>>> others = new ArrayList<>();
+            for (int i = 0; i < 50; i++) {
+                others.add(peer.client().sendAsync(peer.request("/v1/statements?wait=10")
+                        .POST(HttpRequest.BodyPublishers.ofString("SELECT 1")).build(), BodyHandlers.ofString()));
+            }
+            for (CompletableFuture<HttpResponse<String>> o : others) {
+                assertEquals(200, o.get().statusCode());
+            }
+            for (Socket s : slow) {
+                Thread.sleep(1_500);
+                String answer = read(s, 5_000);
+                assertTrue(answer.startsWith("HTTP/1.1 200"), answer.substring(0, Math.min(200, answer.length())));
+                assertTrue(!answer.endsWith("<quiet>") && answer.length() < 9_000_000, "cut off after " + answer.length());
+                s.close();
+            }
+        }
+    }
+}
--- a/router/src/main/java/ashlink/router/Router.java
+++ b/router/src/main/java/ashlink/router/Router.java
@@ -5,6 +5,10 @@
 import ashlink.Gateway.Phase;
 import ashlink.Gateway.Settings;
 import ashlink.Rules;
+import ashlink.background.Scheduler;
+import ashlink.background.plan.Limits;
+import ashlink.background.plan.Priority;
+import ashlink.background.plan.TaskSpec;
 import ashlink.config.RouterConfig;
 import ashlink.router.classify.Classifier;
 import ashlink.router.classify.Statements;
@@ -14,6 +18,7 @@
 import ashlink.router.front.MemoryQuota;
 import ashlink.router.front.NativeListener;
 import ashlink.router.front.Unknowns;
+import ashlink.router.http.HttpFront;
 import ashlink.router.list.ListStore;
 import ashlink.router.upstream.Engines;
 import ashlink.wire.WireLimits;
@@ -36,7 +41,10 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Router.class);
     private static final String LIST_FILE = "engines.list";
-    private static final long KEEP_S = 1;
+    private static final long KEEP_NS = 1_000_000_000L;
+    private static final long LAST_RUNS_NS = 5 * KEEP_NS;
+    /** Events that wait for decisions from which on background work has the least share. */
+    private static final double PRESSED = 256;
     private static final long WORKER_IDLE_S = 10;
 
     private final CoreClock clock = new CoreClock();
@@ -45,6 +53,8 @@
     private final Core core;
     private final Engines engines;
     private final NativeListener listener;
+    private final Scheduler background;
+    private final HttpFront http;
     private final ListStore store;
     private final HTTPServer metrics;
     private final PrometheusRegistry registry = new PrometheusRegistry();
@@ -87,9 +97,12 @@
                 b.queue(),
                 b.openRequests(), registry);
         String boot = Long.toString(System.currentTimeMillis(), Character.MAX_RADIX);
-        listener = new NativeListener(new FrontContext(() -> this.config, core, engines, workers, timer, limits,
+        FrontContext context = new FrontContext(() -> this.config, core, engines, workers, timer, limits,
                 new MemoryQuota(b.heldAnswers()), new MemoryQuota(b.heldInserts()), () -> classifier, new Statements(),
-                new Unknowns(), boot));
+                new Unknowns(), boot);
+        listener = new NativeListener(context);
+        background = new Scheduler(config.name(), Limits.DEFAULT, config.seed(), this::pressure);
+        http = config.http().listen() == null ? null : new HttpFront(context, background, registry);
         store = config.stateDir() == null ? null : new ListStore(config.stateDir().resolve(LIST_FILE));
         InetSocketAddress at = config.metrics();
         metrics = at == null ? null : HTTPServer.builder().inetAddress(at.getAddress()).port(at.getPort())
@@ -108,23 +121,28 @@
         capture = RouterCapture.start(config, gateway.getClass(), core, registry);
         core.start();
         engines.start(core::announce, kept);
-        timer.scheduleWithFixedDelay(this::keep, KEEP_S, KEEP_S, TimeUnit.SECONDS);
+        background.add(TaskSpec.every("list.keep", Priority.HIGH, KEEP_NS, 10 * KEEP_NS).alsoAtStop(), lease -> keep());
+        background.add(TaskSpec.every("engines.close-idle", Priority.NORMAL, KEEP_NS, 10 * KEEP_NS),
+                lease -> engines.closeIdle());
         listener.start();
+        if (http != null) {
+            http.start();
+        }
         LOG.atInfo().addKeyValue("router", config.name()).addKeyValue("address", listener.address().toString())
                 .addKeyValue("engines", config.engines().size()).log("started");
     }
 
-    /** Keeps the list where it has changed, and closes idle connections. */
-    private void keep() {
-        try {
-            engines.closeIdle();
-            List<ListEntry> now = engines.entries();
-            if (store != null && !now.equals(kept)) {
-                store.save(now, clock.nowNs(), System.currentTimeMillis());
-                kept = now;
-            }
-        } catch (IOException | RuntimeException e) {
-            LOG.warn("the list of engines could not be kept: {}", e.toString());
+    /** How hard service is pressed: by the part of its queue that is taken. */
+    private double pressure() {
+        return core == null ? 0 : Math.min(1, core.queued() / PRESSED);
+    }
+
+    /** Keeps the list where it has changed. */
+    private void keep() throws IOException {
+        List<ListEntry> now = engines.entries();
+        if (store != null && !now.equals(kept)) {
+            store.save(now, clock.nowNs(), System.currentTimeMillis());
+            kept = now;
         }
     }
 
@@ -133,6 +151,21 @@
         return listener.address();
     }
 
+    /** Where statements are taken over HTTP, or null. */
+    public InetSocketAddress httpAddress() {
+        return http == null ? null : http.address();
+    }
+
+    /** The front over HTTP, or null. */
+    public HttpFront http() {
+        return http;
+    }
+
+    /** What runs beside the service. */
+    public Scheduler background() {
+        return background;
+    }
+
     /** The core, for who watches it. */
     public Core core() {
         return core;
@@ -154,7 +187,7 @@
                 old.metrics(), old.stateDir(), old.bounds(), old.kinds(), next.engines(), old.classes(),
                 next.rules().stream().filter(r -> old.classes().containsKey(r.queryClass())).toList(),
                 old.defaultClass(), old.defaultWriteClass(), next.users(), old.tenants(), old.overShareWorth(),
-                old.allowed(), old.limits(), old.gauges(), old.engineLogin(), old.capture());
+                old.allowed(), old.limits(), old.gauges(), old.engineLogin(), old.capture(), old.http());
         classifier = new Classifier(config);
         engines.configure(next.engines().values());
         LOG.info("reloaded");
@@ -167,8 +200,16 @@
         } catch (IOException e) {
             LOG.warn("stop: {}", e.toString());
         }
+        long from = System.nanoTime();
+        if (http != null) {
+            http.refuseNew();
+        }
         core.drain(config.bounds().stopNs());
-        keep();
+        if (http != null) {
+            http.awaitFetched(config.bounds().stopNs() - (System.nanoTime() - from));
+            http.stop();
+        }
+        background.stop(LAST_RUNS_NS);
         end();
         capture.stop();
         LOG.info("stopped");
@@ -184,6 +225,10 @@
         if (capture != null) {
             capture.kill();
         }
+        if (http != null) {
+            http.kill();
+        }
+        background.kill();
         end();
     }
 
--- a/router/src/main/java/ashlink/router/core/Core.java
+++ b/router/src/main/java/ashlink/router/core/Core.java
@@ -118,6 +118,11 @@
         observer = o;
     }
 
+    /** Events that wait for a decision. */
+    public int queued() {
+        return queue.size();
+    }
+
     /** Requests without a final answer. */
     public int openRequests() {
         return openCount.get();
--- a/router/src/main/java/ashlink/router/front/ClientChannel.java
+++ b/router/src/main/java/ashlink/router/front/ClientChannel.java
@@ -1,13 +1,14 @@
 package ashlink.router.front;
 
+import ashlink.router.core.Ending;
 import ashlink.wire.ByteBuf;
 import ashlink.wire.ServerError;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
 
-/** The way to a client. Who holds its lock writes whole packets. */
-final class ClientChannel {
+/** The way to a client of the native protocol: its socket. */
+final class ClientChannel implements AnswerChannel {
 
     private final Socket socket;
     private final OutputStream out;
@@ -17,11 +18,16 @@
         this.out = socket.getOutputStream();
     }
 
-    /** Writes whole packets. */
-    synchronized void write(ByteBuf packets) throws IOException {
+    @Override
+    public synchronized void write(ByteBuf packets) throws IOException {
         packets.writeTo(out);
     }
 
+    @Override
+    public void end(ByteBuf packets, Ending how, long retryAfterNs) throws IOException {
+        write(packets);
+    }
+
     /** Writes an exception. */
     void write(ServerError error) throws IOException {
         ByteBuf packet = new ByteBuf();
@@ -29,12 +35,14 @@
         write(packet);
     }
 
-    String peer() {
+    @Override
+    public String peer() {
         return socket.getRemoteSocketAddress() instanceof java.net.InetSocketAddress a
                 ? a.getAddress().getHostAddress() + ":" + a.getPort() : "";
     }
 
-    void close() {
+    @Override
+    public void close() {
         try {
             socket.close();
         } catch (IOException e) {
--- a/router/src/main/java/ashlink/router/front/ClientConnection.java
+++ b/router/src/main/java/ashlink/router/front/ClientConnection.java
@@ -1,11 +1,5 @@
 package ashlink.router.front;
 
-import ashlink.Gateway.QueryClass;
-import ashlink.config.RouterConfig;
-import ashlink.config.RouterConfig.UserSpec;
-import ashlink.router.core.CoreRequest;
-import ashlink.sql.Kind;
-import ashlink.sql.Reading;
 import ashlink.wire.Blocks;
 import ashlink.wire.ByteBuf;
 import ashlink.wire.ClientInfo;
@@ -14,14 +8,11 @@
 import ashlink.wire.QueryPacket;
 import ashlink.wire.Revision;
 import ashlink.wire.ServerPacket;
-import ashlink.wire.Setting;
 import ashlink.wire.StreamSource;
 import ashlink.wire.WireException;
 import ashlink.wire.WireLimits;
 import java.io.IOException;
 import java.net.Socket;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -207,37 +198,13 @@
 
     // ---- Statements
     private void begin(QueryPacket query, byte[] tables) {
-        RouterConfig config = context.config();
-        Map<String, String> settings = new HashMap<>();
-        for (Setting s : query.settings()) {
-            settings.put(s.name(), s.value());
-        }
-        Reading reading = context.statements().read(query.statement(), hello.database());
-        if (reading.kind() == Kind.UNKNOWN) {
-            context.unknowns().tell(reading, hello.user());
-        }
-        QueryClass c = context.classifier().get().decide(hello.user(), hello.database(), reading, settings).queryClass();
         ClientInfo by = query.client();
         ClientInfo info = new ClientInfo(hello.user(), query.id(), client.peer(), by.osUser(), by.host(),
                 by.name().isEmpty() ? hello.name() : by.name(), by.major(), by.minor(), by.revision(), by.patch(),
                 by.quotaKey());
         QueryPacket named = new QueryPacket(query.id(), info, query.settings(), query.stage(), query.compressed(),
                 query.statement());
-        exchange = new Exchange(context, client, revision, hello.database(), named, tables, c, reading);
+        exchange = Intake.begin(context, client, revision, hello.user(), hello.database(), named, tables);
         fed = exchange.feed() == null;
-        UserSpec user = config.users().get(hello.user());
-        CoreRequest request = RequestHints.request(c, reading, settings, user == null ? "" : user.tenant(),
-                config.bounds().answerMarginNs());
-        if (request.allowedNs() <= 0) {
-            exchange.finish(Answers.refused(0, "its time was up when it came"), "refused");
-            return;
-        }
-        long id = context.core().submit(request, exchange);
-        if (id < 0) {
-            exchange.finish(Answers.refused(config.allowed().longestRetryAfterNs(), "the router is full or stops"),
-                    "turned away");
-        } else {
-            exchange.id(id);
-        }
     }
 }
--- a/router/src/main/java/ashlink/router/front/Exchange.java
+++ b/router/src/main/java/ashlink/router/front/Exchange.java
@@ -6,6 +6,7 @@
 import ashlink.router.core.AnswerSink;
 import ashlink.router.core.Attempt;
 import ashlink.router.core.Cause;
+import ashlink.router.core.Ending;
 import ashlink.sql.Reading;
 import ashlink.wire.ByteBuf;
 import ashlink.wire.QueryPacket;
@@ -24,14 +25,14 @@
  * A statement and its one final answer. Whoever is first to claim the answer writes it; after that nothing is written for
  * this statement.
  */
-final class Exchange implements AnswerSink {
+public final class Exchange implements AnswerSink {
 
     private static final Logger LOG = LoggerFactory.getLogger(Exchange.class);
     /** Time for the final answer to leave; a client that does not read it by then is cut off. */
     private static final long FINAL_MS = 2_000;
 
     private final FrontContext context;
-    private final ClientChannel client;
+    private final AnswerChannel client;
     private final int clientRevision;
     private final String database;
     private final QueryPacket query;
@@ -46,7 +47,7 @@
     private byte[] header;
     private volatile String lastError = "";
 
-    Exchange(FrontContext context, ClientChannel client, int clientRevision, String database, QueryPacket query,
+    Exchange(FrontContext context, AnswerChannel client, int clientRevision, String database, QueryPacket query,
             byte[] externalTables, QueryClass queryClass, Reading reading) {
         this.context = context;
         this.client = client;
@@ -60,6 +61,11 @@
                 ? new InsertFeed(context.config().bounds().heldInsert(), context.insertQuota()) : null;
     }
 
+    /** The core's number of it, for logs. */
+    public long id() {
+        return id;
+    }
+
     void id(long number) {
         id = number;
     }
@@ -80,12 +86,12 @@
         return database;
     }
 
-    QueryClass queryClass() {
+    public QueryClass queryClass() {
         return queryClass;
     }
 
     /** The data that the client may be asked for, or null for a statement that takes none. */
-    InsertFeed feed() {
+    public InsertFeed feed() {
         return feed;
     }
 
@@ -110,24 +116,24 @@
 
     @Override
     public void refused(long retryAfterNs) {
-        later(Answers.refused(retryAfterNs, lastError), "refused");
+        later(Answers.refused(retryAfterNs, lastError), Ending.REFUSED, retryAfterNs);
     }
 
     @Override
     public void failed() {
-        later(Answers.failed(lastError), "failed");
+        later(Answers.failed(lastError), Ending.FAILED, 0);
     }
 
     @Override
     public void broken(Outcome how) {
-        later(Answers.broken(how), "broken");
+        later(Answers.broken(how), Ending.BROKEN, 0);
     }
 
-    private void later(ServerError error, String how) {
+    private void later(ServerError error, Ending how, long retryAfterNs) {
         Future<?> cut = context.timer().schedule(client::close, FINAL_MS, TimeUnit.MILLISECONDS);
         try {
             context.workers().execute(() -> {
-                finish(error, how);
+                finish(error, how, retryAfterNs);
                 cut.cancel(false);
             });
         } catch (RejectedExecutionException e) {
@@ -147,26 +153,39 @@
     }
 
     /** Writes the rest of the answer, which ends it. */
-    void finish(ByteBuf packets, String how) {
+    void finish(ByteBuf packets, Ending how) {
+        finish(packets, how, 0);
+    }
+
+    private void finish(ByteBuf packets, Ending how, long retryAfterNs) {
         synchronized (client) {
             if (claimed) {
                 return;
             }
             claimed = true;
-            send(packets);
+            try {
+                client.end(packets, how, retryAfterNs);
+            } catch (IOException e) {
+                client.close(); // its reader sees that, and tells the core
+            }
         }
         ended(how);
     }
 
     /** Ends it with an exception. */
-    void finish(ServerError error, String how) {
+    void finish(ServerError error, Ending how) {
+        finish(error, how, 0);
+    }
+
+    /** Ends it with an exception, which tells when to come back. */
+    void finish(ServerError error, Ending how, long retryAfterNs) {
         ByteBuf packet = new ByteBuf();
         try {
             error.write(packet);
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
-        finish(packet, how);
+        finish(packet, how, retryAfterNs);
     }
 
     private void send(ByteBuf packets) {
@@ -195,19 +214,19 @@
     }
 
     /** The client called it off: it is told at once, and the core that nobody waits any more. */
-    void cancel() {
+    public void cancel() {
         context.core().clientGone(id);
-        finish(Answers.cancelled(), "cancelled");
+        finish(Answers.cancelled(), Ending.CANCELLED);
     }
 
     /** The client sent what makes no sense: that ends the statement, unless an answer is under way. */
-    void refuseInput(WireException e) {
+    public void refuseInput(WireException e) {
         context.core().clientGone(id);
-        finish(Answers.wire(e), "bad input");
+        finish(Answers.wire(e), Ending.BAD_INPUT);
     }
 
     /** The client is gone; nothing more is written. */
-    void vanished() {
+    public void vanished() {
         context.core().clientGone(id);
         synchronized (client) {
             if (claimed) {
@@ -215,24 +234,24 @@
             }
             claimed = true;
         }
-        ended("client gone");
+        ended(Ending.GONE);
     }
 
-    private void ended(String how) {
+    private void ended(Ending how) {
         if (feed != null) {
             feed.close();
         }
         done.countDown();
-        if (LOG.isDebugEnabled() || !how.equals("served")) {
-            LOG.atLevel(how.equals("served") ? org.slf4j.event.Level.DEBUG : org.slf4j.event.Level.INFO)
-                    .addKeyValue("request", id).addKeyValue("class", queryClass.name()).addKeyValue("answer", how)
+        if (LOG.isDebugEnabled() || how != Ending.SERVED) {
+            LOG.atLevel(how == Ending.SERVED ? org.slf4j.event.Level.DEBUG : org.slf4j.event.Level.INFO)
+                    .addKeyValue("request", id).addKeyValue("class", queryClass.name()).addKeyValue("answer", how.word())
                     .addKeyValue("ms", (System.nanoTime() - fromNs) / 1_000_000).addKeyValue("query_id", query.id())
                     .addKeyValue("client", client.peer()).log("answered");
         }
     }
 
     /** True once the final answer is out. */
-    boolean isDone() {
+    public boolean isDone() {
         return done.getCount() == 0;
     }
 
--- a/router/src/main/java/ashlink/router/front/InsertFeed.java
+++ b/router/src/main/java/ashlink/router/front/InsertFeed.java
@@ -10,7 +10,7 @@
  * another attempt can have it; past the limit only what was not sent yet is kept, a window at a time, and there is no
  * other attempt.
  */
-final class InsertFeed {
+public final class InsertFeed {
 
     private static final long WINDOW_BYTES = 4 << 20;
 
@@ -30,7 +30,7 @@
     }
 
     /** Takes the client's next packet, {@code last} for the one that ends the data; waits while the window is full. */
-    synchronized void put(byte[] packet, boolean last) throws InterruptedException {
+    public synchronized void put(byte[] packet, boolean last) throws InterruptedException {
         if (replayable && (kept + packet.length > mostKept || !quota.take(packet.length))) {
             replayable = false;
             dropSent();
--- /dev/null
+++ b/router/src/main/java/ashlink/router/front/Intake.java
@@ -0,0 +1,89 @@
+package ashlink.router.front;
+
+import ashlink.Gateway.QueryClass;
+import ashlink.config.RouterConfig;
+import ashlink.config.RouterConfig.UserSpec;
+import ashlink.router.core.CoreRequest;
+import ashlink.router.core.Ending;
+import ashlink.sql.Kind;
+import ashlink.sql.Reading;
+import ashlink.wire.QueryPacket;
+import ashlink.wire.Setting;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Turns a statement into a request of the core: the same for every front. */
+public final class Intake {
+
+    private Intake() { }
+
+    /** Reads and classifies a statement, and puts it to the core; its answer goes to the channel, maybe before this returns. */
+    public static Exchange begin(FrontContext context, AnswerChannel client, int revision, String userName, String database,
+            QueryPacket query, byte[] tables) {
+        Prepared p = prepare(context, client, revision, userName, database, query, tables);
+        p.submit();
+        return p.exchange;
+    }
+
+    /** A statement that was read and classified, and not yet put to the core. */
+    public static final class Prepared {
+        private final FrontContext context;
+        private final Exchange exchange;
+        private final CoreRequest request;
+
+        private Prepared(FrontContext context, Exchange exchange, CoreRequest request) {
+            this.context = context;
+            this.exchange = exchange;
+            this.request = request;
+        }
+
+        /** The statement. */
+        public Exchange exchange() {
+            return exchange;
+        }
+
+        /** Time from now until its client gives up, by its class and its own limit. */
+        public long allowedNs() {
+            return request.allowedNs();
+        }
+
+        /** Answers it here: it is not put to the core. */
+        public void refuse(String why, long retryAfterNs) {
+            exchange.finish(Answers.refused(retryAfterNs, why), Ending.TURNED_AWAY, retryAfterNs);
+        }
+
+        /** Puts it to the core. */
+        public void submit() {
+            if (request.allowedNs() <= 0) {
+                exchange.finish(Answers.refused(0, "its time was up when it came"), Ending.REFUSED);
+                return;
+            }
+            long id = context.core().submit(request, exchange);
+            if (id < 0) {
+                long retryAfterNs = context.config().allowed().longestRetryAfterNs();
+                exchange.finish(Answers.refused(retryAfterNs, "the router is full or stops"), Ending.TURNED_AWAY, retryAfterNs);
+            } else {
+                exchange.id(id);
+            }
+        }
+    }
+
+    /** Reads and classifies a statement. */
+    public static Prepared prepare(FrontContext context, AnswerChannel client, int revision, String userName, String database,
+            QueryPacket query, byte[] tables) {
+        RouterConfig config = context.config();
+        Map<String, String> settings = new HashMap<>();
+        for (Setting s : query.settings()) {
+            settings.put(s.name(), s.value());
+        }
+        Reading reading = context.statements().read(query.statement(), database);
+        if (reading.kind() == Kind.UNKNOWN) {
+            context.unknowns().tell(reading, userName);
+        }
+        QueryClass c = context.classifier().get().decide(userName, database, reading, settings).queryClass();
+        UserSpec user = config.users().get(userName);
+        CoreRequest request = RequestHints.request(c, reading, settings, user == null ? "" : user.tenant(),
+                config.bounds().answerMarginNs());
+        return new Prepared(context, new Exchange(context, client, revision, database, query, tables, c, reading), request);
+    }
+}
--- a/router/src/main/java/ashlink/router/front/Logins.java
+++ b/router/src/main/java/ashlink/router/front/Logins.java
@@ -17,7 +17,7 @@
  * Checks users and passwords. A check is dear on purpose, so few run at once, and one that succeeded is remembered under
  * a keyed digest; one that failed never is.
  */
-final class Logins {
+public final class Logins {
 
     private static final int AT_ONCE = 4;
     private static final int REMEMBERED = 10_000;
@@ -27,13 +27,21 @@
     private final Cache<String, Boolean> good = Caffeine.newBuilder().maximumSize(REMEMBERED).build();
     private final SecretKeySpec key;
 
-    Logins() {
+    /** Remembers nothing yet. */
+    public Logins() {
         byte[] secret = new byte[32];
         new SecureRandom().nextBytes(secret);
         key = new SecretKeySpec(secret, MAC);
     }
 
-    boolean check(Map<String, UserSpec> users, String user, String password) throws InterruptedException {
+    /** True if a user and password are right and were checked before: costs next to nothing. */
+    public boolean isKnown(Map<String, UserSpec> users, String user, String password) {
+        UserSpec spec = users.get(user);
+        return spec != null && good.getIfPresent(digest(user, password, spec.passwordHash())) != null;
+    }
+
+    /** True if a user and password are right; may wait for its turn, and takes its time. */
+    public boolean check(Map<String, UserSpec> users, String user, String password) throws InterruptedException {
         UserSpec spec = users.get(user);
         String hash = spec == null ? null : spec.passwordHash();
         String digest = digest(user, password, hash);
--- a/router/src/main/java/ashlink/router/front/NativeAttempt.java
+++ b/router/src/main/java/ashlink/router/front/NativeAttempt.java
@@ -3,6 +3,7 @@
 import ashlink.router.core.Attempt;
 import ashlink.router.core.Attempt.Told;
 import ashlink.router.core.Cause;
+import ashlink.router.core.Ending;
 import ashlink.router.core.Phase;
 import ashlink.router.upstream.EngineConnection;
 import ashlink.router.upstream.EngineErrors;
@@ -89,7 +90,7 @@
         exchange.lastError(attempt.engine() + ": " + e.getMessage());
         boolean own = e.reason() == WireException.Reason.UNKNOWN_TYPE || e.reason() == WireException.Reason.TOO_LARGE;
         if (own && !bound && attempt.phase() == Phase.RUNNING && attempt.end(Cause.STATEMENT_ERROR, Told.NOTHING)) {
-            exchange.finish(Answers.wire(e), "error");
+            exchange.finish(Answers.wire(e), Ending.ERROR);
             return null;
         }
         return Cause.BROKEN;
@@ -240,7 +241,7 @@
         boolean first = attempt.end(Cause.SERVED, context.engines().gauges().told(told));
         giveBack(first);
         if (first) {
-            exchange.finish(answer, "served");
+            exchange.finish(answer, Ending.SERVED);
         }
         return null;
     }
@@ -253,7 +254,7 @@
         boolean first = attempt.end(cause, context.engines().gauges().told(told));
         giveBack(first && fed);
         if (first && cause == Cause.STATEMENT_ERROR) {
-            exchange.finish(answer, "error");
+            exchange.finish(answer, Ending.ERROR);
         }
         return null;
     }
--- /dev/null
+++ b/router/src/main/java/ashlink/router/http/HeaderWatch.java
@@ -0,0 +1,57 @@
+package ashlink.router.http;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.eclipse.jetty.io.Connection;
+
+/**
+ * Closes connections whose next request does not come whole in time: bytes that drip in keep a connection from being idle,
+ * and so need a limit of their own.
+ */
+final class HeaderWatch implements Connection.Listener {
+
+    private static final class Seen {
+        long messages;
+        long bytes;
+        long sinceNs = -1;
+    }
+
+    private final long limitNs;
+    private final Map<Connection, Seen> connections = new ConcurrentHashMap<>();
+
+    HeaderWatch(long limitNs) {
+        this.limitNs = limitNs;
+    }
+
+    @Override
+    public void onOpened(Connection c) {
+        connections.put(c, new Seen());
+    }
+
+    @Override
+    public void onClosed(Connection c) {
+        connections.remove(c);
+    }
+
+    /** Looks at all connections; called from time to time. */
+    void look(long nowNs) {
+        connections.forEach((c, seen) -> {
+            long messages = c.getMessagesIn();
+            long bytes = c.getBytesIn();
+            boolean idle = messages == c.getMessagesOut();
+            if (messages != seen.messages || !idle) {
+                seen.messages = messages;
+                seen.bytes = bytes;
+                seen.sinceNs = -1;
+            } else if (bytes != seen.bytes && seen.sinceNs < 0) {
+                seen.sinceNs = nowNs;
+            } else if (seen.sinceNs >= 0 && nowNs - seen.sinceNs > limitNs) {
+                c.getEndPoint().close();
+            }
+        });
+    }
+
+    int count() {
+        return connections.size();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/ashlink/router/http/Registry.java
@@ -0,0 +1,358 @@
+package ashlink.router.http;
+
+import ashlink.config.RouterConfig.HttpSpec;
+import ashlink.router.core.Ending;
+import ashlink.router.front.Exchange;
+import ashlink.router.front.FrontContext;
+import ashlink.router.front.InsertFeed;
+import ashlink.router.front.Intake;
+import ashlink.router.front.MemoryQuota;
+import ashlink.router.spool.KeyJournal;
+import ashlink.router.spool.PageStore;
+import ashlink.router.statement.KeyTable;
+import ashlink.router.statement.KeyTable.Claim;
+import ashlink.router.statement.KeyTable.Entry;
+import ashlink.router.statement.Life;
+import ashlink.wire.Block;
+import ashlink.wire.ByteBuf;
+import ashlink.wire.ClientInfo;
+import ashlink.wire.ClientPacket;
+import ashlink.wire.QueryPacket;
+import ashlink.wire.Revision;
+import ashlink.wire.WireException;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The statements of the HTTP front: taken, found, called off, expired; and the keys under which they run once. */
+final class Registry {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Registry.class);
+    private static final int ID_BYTES = 16;
+    private static final long FULL_RETRY_NS = 1_000_000_000L;
+
+    /** What came of a posted statement: the statement, what a key tells of an earlier one, or a problem. */
+    record Taken(HttpStatement statement, Entry earlier, Problem problem) { }
+
+    private final FrontContext context;
+    private final HttpSpec spec;
+    private final PageStore store;
+    private final KeyTable keys;
+    private final KeyJournal journal;
+    private final MemoryQuota openPages;
+    private final Life.Terms terms;
+    private final SecureRandom random = new SecureRandom();
+    private final Map<String, HttpStatement> statements = new ConcurrentHashMap<>();
+    private final Map<String, AtomicInteger> openOfUser = new ConcurrentHashMap<>();
+    private final AtomicInteger open = new AtomicInteger();
+    private final Set<String> leftAlready = ConcurrentHashMap.newKeySet();
+    private volatile boolean stopping;
+
+    /** {@code journal} null: keys live as long as the router. */
+    Registry(FrontContext context, PageStore store, KeyTable keys, KeyJournal journal) {
+        this.context = context;
+        this.spec = context.config().http();
+        this.store = store;
+        this.keys = keys;
+        this.journal = journal;
+        this.openPages = new MemoryQuota(spec.memoryAllBytes());
+        this.terms = new Life.Terms(spec.unpolledNs(), spec.keptNs(), spec.lingerNs(), spec.tombstoneNs());
+    }
+
+    // ---- Taking
+    /** Takes a statement; with a key, the same statement is taken once. */
+    Taken take(Posted p, String user, String peer, String key) {
+        if (stopping) {
+            return new Taken(null, null, new Problem(Problem.Kind.REFUSED, "the router stops", FULL_RETRY_NS, 0));
+        }
+        Problem full = admit(user);
+        if (full != null) {
+            return new Taken(null, null, full);
+        }
+        HttpStatement s = new HttpStatement(newId(), user, peer, store, openPages, context.limits(), spec.pageBytes(), terms,
+                this::answered);
+        Claim c = null;
+        if (key != null) {
+            synchronized (keys) {
+                c = keys.claim(user, key, p.digest(), s.id(), System.currentTimeMillis());
+                if (c.verdict() == KeyTable.Verdict.NEW) {
+                    s.awaitsKey();
+                    statements.put(s.id(), s); // who comes with the key next finds the statement
+                }
+            }
+            if (c.verdict() != KeyTable.Verdict.NEW) {
+                left(s);
+                return held(c);
+            }
+        }
+        statements.put(s.id(), s);
+        Intake.Prepared prepared = prepare(p, s, user);
+        if (c != null && !keep(c.entry())) {
+            prepared.refuse("the key could not be kept", FULL_RETRY_NS);
+        } else {
+            prepared.submit();
+        }
+        s.keyIsKept();
+        return new Taken(s, null, null);
+    }
+
+    /** Keeps a claim; on the disk before anything can run. */
+    private boolean keep(Entry e) {
+        try {
+            if (journal != null) {
+                journal.put(e);
+            }
+            return true;
+        } catch (IOException x) {
+            LOG.error("a key could not be kept: {}", x.toString());
+            return false;
+        }
+    }
+
+    private Taken held(Claim c) {
+        return switch (c.verdict()) {
+            case OTHER -> new Taken(null, null, Problem.of(Problem.Kind.KEY_REUSED, ""));
+            case FULL -> new Taken(null, null, new Problem(Problem.Kind.REFUSED, "there are " + spec.keys()
+                    + " keys, which is the limit", FULL_RETRY_NS, 0));
+            default -> {
+                HttpStatement s = statements.get(c.entry().statement());
+                if (s != null) {
+                    s.awaitKey();
+                }
+                yield s != null ? new Taken(s, null, null) : new Taken(null, c.entry(), null);
+            }
+        };
+    }
+
+    private Problem admit(String user) {
+        AtomicInteger mine = openOfUser.computeIfAbsent(user, u -> new AtomicInteger());
+        if (mine.incrementAndGet() > spec.openUser()) {
+            mine.decrementAndGet();
+            return new Problem(Problem.Kind.TOO_MANY, "the limit is " + spec.openUser(), FULL_RETRY_NS, 0);
+        }
+        if (open.incrementAndGet() > spec.open()) {
+            open.decrementAndGet();
+            mine.decrementAndGet();
+            return new Problem(Problem.Kind.REFUSED, "the router holds " + spec.open() + " statements, which is the limit",
+                    FULL_RETRY_NS, 0);
+        }
+        return null;
+    }
+
+    /** Its result was dropped: its place is free. */
+    private void left(HttpStatement s) {
+        open.decrementAndGet();
+        openOfUser.get(s.user()).decrementAndGet();
+    }
+
+    /** Not to be guessed; begins with the router's name where that can stand in a URI, so that others can point to it. */
+    private String newId() {
+        byte[] b = new byte[ID_BYTES];
+        random.nextBytes(b);
+        String text = Base64.getUrlEncoder().withoutPadding().encodeToString(b);
+        String name = context.config().name();
+        return name.matches("[A-Za-z0-9._-]+") ? name + "~" + text : text;
+    }
+
+    private Intake.Prepared prepare(Posted p, HttpStatement s, String user) {
+        ByteBuf end = new ByteBuf();
+        try {
+            end.putVarUInt(ClientPacket.DATA.ordinal()).putString("");
+            Block.END.write(null, end);
+        } catch (WireException e) {
+            throw new IllegalStateException(e);
+        }
+        byte[] noTables = Arrays.copyOf(end.array(), end.size());
+        ClientInfo info = new ClientInfo(user, "", s.peer(), "", "", "ashlink http", 1, 0, Revision.HIGHEST, 0, "");
+        QueryPacket query = new QueryPacket("", info, p.settingList(), QueryPacket.COMPLETE, false, p.statement());
+        Intake.Prepared prepared = Intake.prepare(context, s, Revision.HIGHEST, user, p.database(), query, noTables);
+        Exchange exchange = prepared.exchange();
+        s.exchange(exchange);
+        if (exchange.feed() != null) {
+            s.headerTaker(header -> feedLater(exchange, header, p, noTables));
+        }
+        return prepared;
+    }
+
+    /** The data of a load goes from a thread of its own: the one that brought the columns is the one that sends it on. */
+    private void feedLater(Exchange exchange, byte[] header, Posted p, byte[] end) {
+        try {
+            context.workers().execute(() -> {
+                InsertFeed feed = exchange.feed();
+                try {
+                    if (p.rows() != null && p.rows().size() > 0) {
+                        feed.put(RowsEncoder.encode(header, p.rows(), context.limits()), false);
+                    }
+                    feed.put(end, true);
+                } catch (WireException e) {
+                    exchange.refuseInput(e);
+                } catch (IOException e) {
+                    exchange.refuseInput(new WireException(WireException.Reason.MALFORMED, String.valueOf(e.getMessage())));
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+        } catch (RejectedExecutionException e) {
+            LOG.debug("the router stops before a load had its data");
+        }
+    }
+
+    // ---- Answers
+    /** Keeps how a keyed statement ended before its client is told; the key of one that did not run is free again. */
+    private void answered(HttpStatement s, Ending how) throws IOException {
+        Entry e;
+        synchronized (keys) {
+            e = keys.ofStatement(s.id());
+            if (e == null) {
+                return;
+            }
+            if (how.isHarmless()) {
+                keys.release(e.user(), e.key());
+            } else {
+                keys.put(e.answered(how));
+            }
+        }
+        if (journal != null) {
+            if (!how.isHarmless()) {
+                journal.put(e.answered(how));
+                return;
+            }
+            try {
+                journal.release(e);
+            } catch (IOException x) {
+                LOG.warn("that a key is free could not be kept; after a restart its fate is unknown: {}", x.toString());
+            }
+        }
+    }
+
+    // ---- Finding
+    /** A statement of that user, or null. */
+    HttpStatement find(String id, String user) {
+        HttpStatement s = statements.get(id);
+        return s != null && s.user().equals(user) ? s : null;
+    }
+
+    /** What a key tells of a statement of that user that is not here any more, or null. */
+    Entry remembered(String id, String user) {
+        synchronized (keys) {
+            Entry e = keys.ofStatement(id);
+            return e != null && e.user().equals(user) ? e : null;
+        }
+    }
+
+    /** Its client calls it off or drops its result. */
+    void cancel(HttpStatement s) {
+        boolean held = s.state() == Life.State.RUNNING || s.state() == Life.State.ANSWERED;
+        s.cancel();
+        if (held) {
+            leave(s);
+        }
+    }
+
+    /** Its place is free; said once of each statement. */
+    private void leave(HttpStatement s) {
+        if (leftAlready.add(s.id())) {
+            left(s);
+        }
+    }
+
+    // ---- Upkeep
+    /** Does what is due: calls off, drops, forgets. */
+    void expire(long nowNs) {
+        List<HttpStatement> gone = new ArrayList<>();
+        for (HttpStatement s : statements.values()) {
+            switch (s.wish(nowNs)) {
+                case ABANDON -> {
+                    LOG.info("statement {} of {} is called off: nobody asks for it", s.id(), s.user());
+                    s.abandon();
+                    leave(s);
+                }
+                case DISCARD -> {
+                    s.discard();
+                    leave(s);
+                }
+                case FORGET -> forget(s);
+                case NOTHING -> { }
+            }
+            if (s.state() == Life.State.GONE) {
+                gone.add(s);
+            }
+        }
+        if (gone.size() > spec.tombstones()) {
+            gone.sort(Comparator.comparingLong(HttpStatement::goneNs));
+            gone.subList(0, gone.size() - spec.tombstones()).forEach(this::forget);
+        }
+    }
+
+    private void forget(HttpStatement s) {
+        s.forget();
+        leave(s);
+        statements.remove(s.id());
+        leftAlready.remove(s.id());
+    }
+
+    /** Lets go of keys whose time is over, and keeps the journal short. */
+    void tidyKeys() throws IOException {
+        List<Entry> gone;
+        synchronized (keys) {
+            gone = keys.expire(System.currentTimeMillis());
+        }
+        if (journal != null) {
+            for (Entry e : gone) {
+                journal.release(e);
+            }
+            journal.tidy();
+        }
+    }
+
+    // ---- Stop
+    /** Takes no more. */
+    void refuseNew() {
+        stopping = true;
+    }
+
+    /** True once all that was answered was fetched. */
+    boolean allFetched() {
+        return statements.values().stream().allMatch(s -> s.state() != Life.State.RUNNING && s.state() != Life.State.ANSWERED
+                || s.isEndFetched());
+    }
+
+    /** Whoever still waits is told that the router stops. */
+    void stop() {
+        stopping = true;
+        statements.values().forEach(HttpStatement::stop);
+    }
+
+    void close() throws IOException {
+        store.close();
+        if (journal != null) {
+            journal.close();
+        }
+    }
+
+    // ---- Figures
+    int openCount() {
+        return open.get();
+    }
+
+    int known() {
+        return statements.size();
+    }
+
+    int keyCount() {
+        synchronized (keys) {
+            return keys.entries().size();
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/ashlink/router/http/Route.java
@@ -0,0 +1,41 @@
+package ashlink.router.http;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The paths of the API, as the OpenAPI description has them too. */
+enum Route {
+    POST_STATEMENT("POST", "/v1/statements"),
+    GET_STATEMENT("GET", "/v1/statements/{id}"),
+    DELETE_STATEMENT("DELETE", "/v1/statements/{id}"),
+    GET_PAGE("GET", "/v1/statements/{id}/pages/{page}"),
+    GET_DESCRIPTION("GET", "/v1/openapi.json");
+
+    private final String method;
+    private final String path;
+    private final Pattern pattern;
+
+    Route(String method, String path) {
+        this.method = method;
+        this.path = path;
+        this.pattern = Pattern.compile(path.replace("{id}", "([A-Za-z0-9._~-]{1,200})").replace("{page}", "([0-9]{1,9})"));
+    }
+
+    String method() {
+        return method;
+    }
+
+    String path() {
+        return path;
+    }
+
+    /** A match of that path, whatever the method; null for none. */
+    Matcher match(String requested) {
+        Matcher m = pattern.matcher(requested);
+        return m.matches() ? m : null;
+    }
+
+    static String page(String id, int page) {
+        return "/v1/statements/" + id + "/pages/" + page;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/ashlink/router/spool/KeyJournal.java
@@ -0,0 +1,202 @@
+package ashlink.router.spool;
+
+import ashlink.capture.log.Disk;
+import ashlink.capture.log.Segment;
+import ashlink.capture.log.SegmentWriter;
+import ashlink.router.core.Ending;
+import ashlink.router.statement.KeyTable;
+import ashlink.router.statement.KeyTable.Entry;
+import ashlink.router.statement.KeyTable.Fate;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps a table of keys on disk: a record for each change, in the log of captures. A key counts as claimed once its record
+ * is synced; many claims share a sync. From time to time, and at each start, the table is written anew and the log before
+ * is removed.
+ */
+public final class KeyJournal implements AutoCloseable {
+
+    private static final Logger LOG = LoggerFactory.getLogger(KeyJournal.class);
+    private static final long SEGMENT_BYTES = 16L << 20;
+    private static final int PUT = 1;
+    private static final int RELEASE = 2;
+    private static final int SLACK = 10_000;
+
+    private final Disk disk;
+    private final KeyTable table;
+    private final Object syncing = new Object();
+    private final List<Pending> pending = new ArrayList<>();
+    private SegmentWriter log;
+    private long boot;
+    private long written;
+    private long live;
+
+    /** Reads the table that the disk has, and goes on from there; what was under way has an unknown fate now. */
+    public KeyJournal(Disk disk, KeyTable table, long nowMs) throws IOException {
+        this.disk = disk;
+        this.table = table;
+        this.boot = nowMs;
+        load();
+        table.expire(nowMs);
+        rewrite();
+    }
+
+    // ---- Reading
+    private void load() throws IOException {
+        for (String name : disk.list()) {
+            if (!name.endsWith(".seg")) {
+                continue;
+            }
+            Segment.Contents c = Segment.read(disk.read(name));
+            if (c.state() == Segment.State.DAMAGED) {
+                LOG.error("the journal of keys is damaged in {}: {}; keys after that place in it are lost", name, c.why());
+            }
+            boot = Math.max(boot, c.boot() + 1);
+            for (byte[] frame : c.frames()) {
+                apply(new DataInputStream(new ByteArrayInputStream(frame)));
+            }
+        }
+        for (Entry e : table.entries()) {
+            table.put(e.afterRestart());
+        }
+    }
+
+    private void apply(DataInputStream in) throws IOException {
+        int kind = in.readByte();
+        String user = in.readUTF();
+        String key = in.readUTF();
+        if (kind == RELEASE) {
+            table.release(user, key);
+            return;
+        }
+        String digest = in.readUTF();
+        String statement = in.readUTF();
+        Fate fate = Fate.values()[in.readByte()];
+        int ending = in.readByte();
+        table.put(new Entry(user, key, digest, statement, fate, ending < 0 ? null : Ending.values()[ending], in.readLong()));
+    }
+
+    // ---- Writing
+    private static byte[] record(int kind, Entry e) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream out = new DataOutputStream(bytes);
+        out.writeByte(kind);
+        out.writeUTF(e.user());
+        out.writeUTF(e.key());
+        if (kind == PUT) {
+            out.writeUTF(e.digest());
+            out.writeUTF(e.statement());
+            out.writeByte(e.fate().ordinal());
+            out.writeByte(e.ending() == null ? -1 : e.ending().ordinal());
+            out.writeLong(e.claimedMs());
+        }
+        return bytes.toByteArray();
+    }
+
+    /** Keeps an entry as it is now; returns once that is on the disk. */
+    public void put(Entry e) throws IOException {
+        append(PUT, e);
+    }
+
+    /** Keeps that a key is free; returns once that is on the disk. */
+    public void release(Entry e) throws IOException {
+        append(RELEASE, e);
+    }
+
+    /** A record on its way to the disk. */
+    private static final class Pending {
+        private boolean done;
+        private IOException failed;
+    }
+
+    private void append(int kind, Entry e) throws IOException {
+        byte[] record = record(kind, e);
+        Pending mine = new Pending();
+        synchronized (this) {
+            try {
+                log.append(record, record.length, written);
+            } catch (IOException x) {
+                settle(x); // what was appended before and not synced is not believed either
+                throw x;
+            }
+            pending.add(mine);
+            written++;
+        }
+        synchronized (syncing) {
+            if (!mine.done) {
+                synchronized (this) {
+                    sync();
+                }
+            }
+        }
+        if (mine.failed != null) {
+            throw new IOException("the journal of keys fails: " + mine.failed.getMessage(), mine.failed);
+        }
+    }
+
+    private void sync() {
+        IOException failed = null;
+        try {
+            log.sync();
+        } catch (IOException x) {
+            failed = x;
+        }
+        settle(failed);
+    }
+
+    private void settle(IOException failed) {
+        for (Pending p : pending) {
+            p.failed = failed;
+            p.done = true;
+        }
+        pending.clear();
+    }
+
+    /** Writes the table anew where the log has grown far beyond it. */
+    public void tidy() throws IOException {
+        synchronized (syncing) {
+            synchronized (this) {
+                if (written - live > SLACK + 4L * table.entries().size()) {
+                    rewrite();
+                }
+            }
+        }
+    }
+
+    private void rewrite() throws IOException {
+        List<String> before = new ArrayList<>(disk.list());
+        if (log != null) {
+            sync();
+            log.close();
+        }
+        log = new SegmentWriter(disk, boot++, SEGMENT_BYTES, Long.MAX_VALUE);
+        for (Entry e : table.entries()) {
+            byte[] record = record(PUT, e);
+            log.append(record, record.length, written++);
+        }
+        log.sync();
+        settle(null);
+        live = written;
+        for (String name : before) {
+            if (name.endsWith(".seg")) {
+                disk.delete(name);
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        synchronized (this) {
+            log.close();
+        }
+        disk.close();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/ashlink/router/statement/KeyTable.java
@@ -0,0 +1,133 @@
+package ashlink.router.statement;
+
+import ashlink.router.core.Ending;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Keys under which a statement runs once. A key is claimed before its statement is put to the decisions, and holds for its
+ * time whatever becomes of the statement, with one exception: a statement that was refused provably did not run, and its
+ * key is free again. What was under way when a router ended has an unknown fate, and is never run again by itself.
+ */
+public final class KeyTable {
+
+    /** What is known of a key's statement. */
+    public enum Fate {
+        /** Under way. */
+        OPEN,
+        /** Answered. */
+        ANSWERED,
+        /** The router ended while it was under way. */
+        UNKNOWN
+    }
+
+    /**
+     * A key that is taken.
+     *
+     * @param digest of the statement's text and settings
+     * @param ending how it was answered, where it was
+     * @param claimedMs when, in milliseconds since 1970
+     */
+    public record Entry(String user, String key, String digest, String statement, Fate fate, Ending ending, long claimedMs) {
+
+        /** The same, answered. */
+        public Entry answered(Ending how) {
+            return new Entry(user, key, digest, statement, Fate.ANSWERED, how, claimedMs);
+        }
+
+        /** The same after the router ended. */
+        public Entry afterRestart() {
+            return fate == Fate.OPEN ? new Entry(user, key, digest, statement, Fate.UNKNOWN, ending, claimedMs) : this;
+        }
+    }
+
+    /** What becomes of a claim. */
+    public enum Verdict {
+        /** The key was free: it is taken now. */
+        NEW,
+        /** The same statement was put under it before. */
+        SAME,
+        /** Another statement was put under it before. */
+        OTHER,
+        /** There are as many keys as there may be, and none is over its time. */
+        FULL
+    }
+
+    /** A verdict, with the entry that holds the key; null where it is full. */
+    public record Claim(Verdict verdict, Entry entry) { }
+
+    private record Name(String user, String key) { }
+
+    private final int most;
+    private final long keptMs;
+    private final Map<Name, Entry> entries = new LinkedHashMap<>();
+    private final Map<String, Name> byStatement = new HashMap<>();
+
+    /** An empty table of so many keys, each for so long. */
+    public KeyTable(int most, long keptMs) {
+        this.most = most;
+        this.keptMs = keptMs;
+    }
+
+    /** Claims a key. */
+    public Claim claim(String user, String key, String digest, String statement, long nowMs) {
+        Entry held = entries.get(new Name(user, key));
+        if (held != null) {
+            return new Claim(held.digest().equals(digest) ? Verdict.SAME : Verdict.OTHER, held);
+        }
+        if (entries.size() >= most) {
+            expire(nowMs);
+        }
+        if (entries.size() >= most) {
+            return new Claim(Verdict.FULL, null);
+        }
+        Entry e = new Entry(user, key, digest, statement, Fate.OPEN, null, nowMs);
+        put(e);
+        return new Claim(Verdict.NEW, e);
+    }
+
+    /** Takes an entry as it is: from a journal, or after it changed. */
+    public void put(Entry e) {
+        Name name = new Name(e.user(), e.key());
+        Entry before = entries.put(name, e);
+        if (before != null) {
+            byStatement.remove(before.statement());
+        }
+        byStatement.put(e.statement(), name);
+    }
+
+    /** A key is free again. */
+    public void release(String user, String key) {
+        Entry e = entries.remove(new Name(user, key));
+        if (e != null) {
+            byStatement.remove(e.statement());
+        }
+    }
+
+    /** The entry of a statement, or null. */
+    public Entry ofStatement(String statement) {
+        Name n = byStatement.get(statement);
+        return n == null ? null : entries.get(n);
+    }
+
+    /** Lets go of keys whose time is over, but of none whose statement is under way; returns them. */
+    public List<Entry> expire(long nowMs) {
+        List<Entry> gone = new ArrayList<>();
+        for (Entry e : new ArrayList<>(entries.values())) {
+            if (nowMs - e.claimedMs() >= keptMs && e.fate() != Fate.OPEN) {
+                release(e.user(), e.key());
+                gone.add(e);
+            }
+        }
+        return gone;
+    }
+
+    /** All entries, the oldest first. */
+    public Collection<Entry> entries() {
+        return List.copyOf(entries.values());
+    }
+}
--- /dev/null
+++ b/router/src/test/java/ashlink/router/spool/SpoolTest.java
@@ -0,0 +1,245 @@
+package ashlink.router.spool;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ashlink.capture.log.Disk;
+import ashlink.capture.log.FolderDisk;
+import ashlink.router.core.Ending;
+import ashlink.router.statement.KeyTable;
+import ashlink.router.statement.KeyTable.Entry;
+import ashlink.router.statement.KeyTable.Fate;
+import ashlink.router.statement.SpoolBudget;
+import ashlink.wire.Quota;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class SpoolTest {
+
+    @TempDir
+    Path dir;
+
+    private static KeyTable table() {
+        return new KeyTable(100, 1L << 40);
+    }
+
+    private static Entry claim(KeyTable t, String key) {
+        return t.claim("u", key, "d-" + key, "s-" + key, 1).entry();
+    }
+
+    // ---- Keys
+    @Test
+    void whatIsKeptIsThereAfterACrashAndTheTableIsWrittenAnew() throws Exception {
+        KeyTable t = table();
+        KeyJournal j = new KeyJournal(FolderDisk.writing(dir), t, 1);
+        for (int i = 0; i < 20; i++) {
+            Entry e = claim(t, "k" + i);
+            j.put(e);
+            if (i % 4 == 0) {
+                t.put(e.answered(Ending.SERVED));
+                j.put(e.answered(Ending.SERVED));
+            } else if (i % 4 == 1) {
+                t.release("u", e.key());
+                j.release(e);
+            }
+        }
+        j.close(); // no more is written at a close than before it
+        KeyTable after = table();
+        KeyJournal next = new KeyJournal(FolderDisk.writing(dir), after, 1);
+        assertEquals(15, after.entries().size());
+        assertEquals(Fate.ANSWERED, after.ofStatement("s-k4").fate());
+        assertEquals(Ending.SERVED, after.ofStatement("s-k4").ending());
+        assertEquals(Fate.UNKNOWN, after.ofStatement("s-k2").fate());
+        assertEquals(null, after.ofStatement("s-k5"));
+        try (Stream<Path> files = Files.list(dir)) {
+            assertEquals(1, files.filter(f -> f.toString().endsWith(".seg")).count(), "the log before is gone");
+        }
+        next.close();
+    }
+
+    @Test
+    void aJournalCutAtAnyByteOpensWithAllThatWasBefore() throws Exception {
+        KeyTable t = table();
+        KeyJournal j = new KeyJournal(FolderDisk.writing(dir), t, 1);
+        Path file;
+        try (Stream<Path> files = Files.list(dir)) {
+            file = files.filter(f -> f.toString().endsWith(".seg")).findFirst().orElse(null);
+        }
+        List<Long> sizes = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            j.put(claim(t, "k" + i));
+            if (file == null) {
+                try (Stream<Path> files = Files.list(dir)) {
+                    file = files.filter(f -> f.toString().endsWith(".seg")).findFirst().orElseThrow();
+                }
+            }
+            sizes.add(Files.size(file));
+        }
+        j.close();
+        byte[] whole = Files.readAllBytes(file);
+        for (int cut = 0; cut <= whole.length; cut++) {
+            Path copy = Files.createDirectory(dir.resolve("cut" + cut));
+            Files.write(copy.resolve(file.getFileName()), Arrays.copyOf(whole, cut));
+            KeyTable after = table();
+            new KeyJournal(FolderDisk.writing(copy), after, 1).close();
+            int at = cut;
+            assertEquals(sizes.stream().filter(s -> s <= at).count(), after.entries().size(), "cut at " + cut);
+        }
+    }
+
+    /** A disk whose next sync fails. */
+    private static final class SyncFails implements Disk {
+        private final Disk disk;
+        private final AtomicBoolean fails = new AtomicBoolean();
+
+        SyncFails(Disk disk) {
+            this.disk = disk;
+        }
+
+        @Override
+        public List<String> list() throws IOException {
+            return disk.list();
+        }
+
+        @Override
+        public Appender create(String name) throws IOException {
+            Appender a = disk.create(name);
+            return new Appender() {
+                @Override
+                public void append(byte[] bytes, int from, int length) throws IOException {
+                    a.append(bytes, from, length);
+                }
+
+                @Override
+                public void sync() throws IOException {
+                    if (fails.getAndSet(false)) {
+                        throw new IOException("no space");
+                    }
+                    a.sync();
+                }
+
+                @Override
+                public void close() throws IOException {
+                    a.close();
+                }
+            };
+        }
+
+        @Override
+        public byte[] read(String name) throws IOException {
+            return disk.read(name);
+        }
+
+        @Override
+        public long size(String name) throws IOException {
+            return disk.size(name);
+        }
+
+        @Override
+        public void delete(String name) throws IOException {
+            disk.delete(name);
+        }
+
+        @Override
+        public void close() throws IOException {
+            disk.close();
+        }
+    }
+
+    @Test
+    void aKeyWhoseSyncFailsIsNotAcknowledgedAndTheNextIs() throws Exception {
+        KeyTable t = table();
+        SyncFails disk = new SyncFails(FolderDisk.writing(dir));
+        KeyJournal j = new KeyJournal(disk, t, 1);
+        j.put(claim(t, "a"));
+        disk.fails.set(true);
+        assertThrows(IOException.class, () -> j.put(claim(t, "b")));
+        j.put(claim(t, "c"));
+        j.close();
+        KeyTable after = table();
+        new KeyJournal(FolderDisk.writing(dir), after, 1).close();
+        assertTrue(after.ofStatement("s-a") != null && after.ofStatement("s-c") != null);
+    }
+
+    // ---- Pages
+    private PageStore store(SpoolFiles files, long all, long memory) {
+        return new PageStore(files, new SpoolBudget(new SpoolBudget.Limits(all, all, all, 0)), Quota.NONE, memory);
+    }
+
+    @Test
+    void pagesComeBackAsTheyWereAndAWrongByteIsFound() throws Exception {
+        try (SpoolFolder files = new SpoolFolder(dir, "r1", "b2")) {
+            PageStore s = store(files, 1_000, 10);
+            PageStore.Stored small = s.store("s", "u", 0, new byte[] {1, 2, 3}, 3, 0, () -> false);
+            PageStore.Stored large = s.store("s", "u", 1, new byte[] {4, 5, 6, 7, 8, 9, 10, 11, 0, 0}, 8, 3, () -> false);
+            assertArrayEquals(new byte[] {1, 2, 3}, s.read(small));
+            assertArrayEquals(new byte[] {4, 5, 6, 7, 8, 9, 10, 11}, s.read(large));
+            assertEquals(8, s.taken());
+            Path page = dir.resolve(files.list().get(0));
+            Files.write(page, new byte[] {4, 5, 6, 7, 8, 9, 10, 12});
+            assertThrows(IOException.class, () -> s.read(large));
+            s.drop(large);
+            s.drop(large);
+            assertEquals(0, s.taken());
+            assertFalse(Files.exists(page));
+        }
+    }
+
+    @Test
+    void whoFindsNoRoomWaitsUntilThereIsSomeOrNobodyWantsIt() throws Exception {
+        PageStore s = store(null, 10, 0);
+        PageStore.Stored first = s.store("s", "u", 0, new byte[8], 8, 0, () -> false);
+        CountDownLatch stored = new CountDownLatch(1);
+        Thread t = new Thread(() -> {
+            try {
+                s.store("s", "u", 1, new byte[8], 8, 0, () -> false);
+                stored.countDown();
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        t.start();
+        assertFalse(stored.await(50, TimeUnit.MILLISECONDS));
+        s.drop(first);
+        assertTrue(stored.await(20, TimeUnit.SECONDS));
+        AtomicBoolean over = new AtomicBoolean();
+        CountDownLatch ended = new CountDownLatch(1);
+        new Thread(() -> {
+            assertThrows(IOException.class, () -> s.store("s", "u", 2, new byte[8], 8, 0, over::get));
+            ended.countDown();
+        }).start();
+        assertFalse(ended.await(50, TimeUnit.MILLISECONDS));
+        over.set(true);
+        s.wake();
+        assertTrue(ended.await(20, TimeUnit.SECONDS));
+        assertThrows(IOException.class, () -> s.store("t", "u", 0, new byte[11], 11, 0, () -> false), "never fits");
+    }
+
+    @Test
+    void aStartRemovesWhatEarlierStartsLeftAndNothingElse() throws Exception {
+        for (String name : List.of("r1.b1.s~x.0.page", "r1.b1.sx.0.page", "r10.b1.sx.0.page", "r1.b2.sx.0.page", "r2.b1.sx.0.page",
+                "r1.notes", "notes.page")) {
+            Files.write(dir.resolve(name), new byte[1]);
+        }
+        try (SpoolFolder files = new SpoolFolder(dir, "r1", "b2")) {
+            assertEquals(1, store(files, 10, 0).clean());
+            assertThrows(IOException.class, () -> new SpoolFolder(dir, "r1", "b3"), "two of one name");
+            new SpoolFolder(dir, "r10", "b3").close();
+        }
+        assertFalse(Files.exists(dir.resolve("r1.b1.sx.0.page")));
+        assertTrue(Files.exists(dir.resolve("r1.b2.sx.0.page")) && Files.exists(dir.resolve("r10.b1.sx.0.page")));
+    }
+}
--- a/wire/src/main/java/ashlink/wire/Blocks.java
+++ b/wire/src/main/java/ashlink/wire/Blocks.java
@@ -80,6 +80,29 @@
         return new Block(read, rows);
     }
 
+    /** A block's columns with all their values, exactly. */
+    public record Table(List<String> names, List<String> types, List<Object[]> columns, int rows) { }
+
+    /** Reads the block that follows with the values of all types; the block is in memory, and no longer than its bytes tell. */
+    public Table readValues(int mostRows) throws IOException {
+        readInfo(in);
+        int columns = (int) in.readCount("number of columns", limits.columns());
+        int rows = (int) in.readCount("number of rows", mostRows);
+        List<String> names = new ArrayList<>();
+        List<String> types = new ArrayList<>();
+        List<Object[]> values = new ArrayList<>();
+        for (int i = 0; i < columns; i++) {
+            names.add(in.readString("a column's name", limits.nameBytes()));
+            types.add(in.readString("a column's type", limits.nameBytes()));
+            ValueReader reader = ValueReader.of(types.get(i));
+            if (rows > 0) {
+                reader.readPrefix(in);
+            }
+            values.add(rows > 0 ? reader.read(in, rows) : new Object[0]);
+        }
+        return new Table(names, types, values, rows);
+    }
+
     private ColumnType type(String text) throws WireException {
         ColumnType known = types.get(text);
         if (known == null) {
--- a/wire/src/main/java/ashlink/wire/TypeParser.java
+++ b/wire/src/main/java/ashlink/wire/TypeParser.java
@@ -28,8 +28,8 @@
     private static final Set<String> INTERVALS = Set.of("Nanosecond", "Microsecond", "Millisecond", "Second", "Minute",
             "Hour", "Day", "Week", "Month", "Quarter", "Year");
 
-    /** A word, number or text with its arguments, as it stands. */
-    private record Term(String name, List<Term> arguments, boolean quoted) { }
+    /** A word, number or text with its arguments, as it stands; {@code value} is that of an element of an enumeration. */
+    record Term(String name, List<Term> arguments, boolean quoted, String value) { }
 
     private final String text;
     private int pos;
@@ -49,11 +49,20 @@
             return plain;
         }
         TypeParser parser = new TypeParser(text);
-        Term term = parser.term(0);
-        if (parser.pos < text.length()) {
-            throw parser.malformed("something follows the type");
+        return parser.type(parser.whole());
+    }
+
+    /** Reads a type as it is written; only its form is checked. */
+    static Term term(String text) throws WireException {
+        return new TypeParser(text).whole();
+    }
+
+    private Term whole() throws WireException {
+        Term term = term(0);
+        if (pos < text.length()) {
+            throw malformed("something follows the type");
         }
-        return parser.type(term);
+        return term;
     }
 
     private WireException malformed(String what) {
@@ -74,7 +83,7 @@
         }
         blanks();
         if (pos < text.length() && text.charAt(pos) == '\'') {
-            return endOf(new Term(quoted('\''), List.of(), true));
+            return endOf(new Term(quoted('\''), List.of(), true, ""));
         }
         String name = word();
         blanks();
@@ -96,19 +105,20 @@
             pos++;
             blanks();
         }
-        return endOf(new Term(name, arguments, false));
+        return endOf(new Term(name, arguments, false, ""));
     }
 
-    /** Passes over the value of an element of an enumeration. */
+    /** Takes the value of an element of an enumeration, where there is one. */
     private Term endOf(Term term) throws WireException {
         blanks();
-        if (pos < text.length() && text.charAt(pos) == '=') {
-            pos++;
-            blanks();
-            word();
-            blanks();
+        if (pos >= text.length() || text.charAt(pos) != '=') {
+            return term;
         }
-        return term;
+        pos++;
+        blanks();
+        String value = word();
+        blanks();
+        return new Term(term.name, term.arguments, term.quoted, value);
     }
 
     private String word() throws WireException {
