--- a/cli/src/main/java/ashlink/cli/BadDayCommand.java
+++ b/cli/src/main/java/ashlink/cli/BadDayCommand.java
@@ -43,6 +43,9 @@
     @Option(names = "--seed", description = "Seed of the load, in place of the script's.")
     private Long seed;
 
+    @Option(names = "--http", description = "Share of queries that come over HTTP, in place of the script's.")
+    private Double http;
+
     @Option(names = "--trouble", description = "A day of one kind of trouble in place of the shipped one, or all for each in turn.")
     private String trouble;
 
@@ -96,8 +99,7 @@
         }
         String name = quick ? "bad-day-quick.sexp" : "bad-day.sexp";
         DayConfig d = script != null ? DayConfigReader.read(script) : DayConfigReader.read(name, BriefSettings.resource(name));
-        return new DayConfig(d.name(), d.durationNs(), seed == null ? d.seed() : seed, d.routers(), d.engines(), d.ratePerS(),
-                d.load(), d.troubles(), d.settings() + captureSetting(d.name()));
+        return d.with(seed == null ? d.seed() : seed, http == null ? d.httpShare() : http, captureSetting(d.name()));
     }
 
     private boolean play(DayConfig day, String name, Baseline.Policy baseline) throws Exception {
--- a/cli/src/test/java/ashlink/cli/ArchitectureTest.java
+++ b/cli/src/test/java/ashlink/cli/ArchitectureTest.java
@@ -32,6 +32,7 @@
             .layer("spool").definedBy("ashlink.router.spool..")
             .layer("http").definedBy("ashlink.router.http..")
             .layer("assembly").definedBy("ashlink.router")
+            .layer("client").definedBy("ashlink.client..")
             .layer("standin").definedBy("ashlink.standin..")
             .layer("rig").definedBy("ashlink.rig..")
             .layer("cli").definedBy("ashlink.cli..")
@@ -51,6 +52,7 @@
             .whereLayer("capture").mayOnlyAccessLayers("decisions")
             .whereLayer("upstream").mayOnlyAccessLayers("decisions", "config", "wire", "core", "list")
             .whereLayer("front").mayOnlyAccessLayers("decisions", "config", "wire", "core", "classify", "upstream", "sql")
+            .whereLayer("client").mayNotAccessAnyLayer()
             .whereLayer("standin").mayOnlyAccessLayers("wire", "config")
             .whereLayer("cli").mayNotBeAccessedByAnyLayer();
 
--- /dev/null
+++ b/client/src/main/java/ashlink/client/package-info.java
@@ -0,0 +1,2 @@
+/** A client of the statement API over HTTP. */
+package ashlink.client;
--- a/config/src/main/java/ashlink/config/DayConfig.java
+++ b/config/src/main/java/ashlink/config/DayConfig.java
@@ -6,10 +6,16 @@
 /**
  * A scripted day: a fleet, its load, and what goes wrong.
  *
+ * @param httpShare of queries that come by the statement API over HTTP, from 0 to 1
  * @param settings further settings of all routers, as text
  */
 public record DayConfig(String name, long durationNs, long seed, List<RouterSpec> routers, Map<String, EngineConfig> engines,
-        double ratePerS, List<LoadClass> load, List<Trouble> troubles, String settings) {
+        double ratePerS, double httpShare, List<LoadClass> load, List<Trouble> troubles, String settings) {
+
+    /** The same with another seed, share of HTTP, and more settings of all routers. */
+    public DayConfig with(long newSeed, double newHttpShare, String more) {
+        return new DayConfig(name, durationNs, newSeed, routers, engines, ratePerS, newHttpShare, load, troubles, settings + more);
+    }
 
     /** A router of the day. */
     public record RouterSpec(String name, String zone) { }
--- a/config/src/main/java/ashlink/config/DayConfigReader.java
+++ b/config/src/main/java/ashlink/config/DayConfigReader.java
@@ -76,7 +76,8 @@
             top.problem("day", "a router, an engine and a load at least");
         }
         DayConfig day = new DayConfig(top.text("name", null), top.duration("duration", null, 100 * MS, 3600 * S),
-                top.whole("seed", 1L, 0, Long.MAX_VALUE / 2), routers, engines, top.rate("rate", null, 1e6), load, troubles,
+                top.whole("seed", 1L, 0, Long.MAX_VALUE / 2), routers, engines, top.rate("rate", null, 1e6),
+                top.number("http-share", 0.0, 0, 1), load, troubles,
                 top.text("settings", ""));
         top.close();
         return day;
--- a/rig/src/main/java/ashlink/rig/day/DayRun.java
+++ b/rig/src/main/java/ashlink/rig/day/DayRun.java
@@ -41,6 +41,7 @@
     private final Map<String, StandInEngine> engines = new LinkedHashMap<>();
     private final Map<String, Router> routers = new ConcurrentHashMap<>();
     private final Map<String, InetSocketAddress> addresses = new ConcurrentHashMap<>();
+    private final Map<String, InetSocketAddress> httpAddresses = new ConcurrentHashMap<>();
     private final List<Drain> drains = new ArrayList<>();
     private final List<Span> kills = new ArrayList<>();
     private final List<Span> downs = new ArrayList<>();
@@ -73,7 +74,7 @@
         }
         long from = System.nanoTime();
         day.troubles().forEach(this::schedule);
-        List<Try> tries = new LoadRun(day, addresses::get, conditions).run();
+        List<Try> tries = new LoadRun(day, addresses::get, httpAddresses::get, conditions).run();
         script.shutdownNow();
         script.awaitTermination(5, TimeUnit.SECONDS);
         for (Router r : routers.values()) {
@@ -93,7 +94,12 @@
 
     private RouterConfig settings(RouterSpec r, int position, int port) {
         return BriefSettings.of(r.name(), r.zone(), position, day.routers().size(), day.seed() * 1000 + position, port,
-                engines.values(), day.settings().replace("{router}", r.name()));
+                engines.values(), day.settings().replace("{router}", r.name()) + http(r.name()));
+    }
+
+    private String http(String router) {
+        InetSocketAddress before = httpAddresses.get(router);
+        return day.httpShare() == 0 ? "" : "(http (listen 127.0.0.1:" + (before == null ? 0 : before.getPort()) + "))";
     }
 
     private void startRouter(RouterSpec spec, int position, int port) throws IOException {
@@ -101,6 +107,9 @@
         r.start();
         routers.put(spec.name(), r);
         addresses.put(spec.name(), r.address());
+        if (r.httpAddress() != null) {
+            httpAddresses.put(spec.name(), r.httpAddress());
+        }
         synchronized (this) {
             long now = System.nanoTime();
             for (Drain d : List.copyOf(drains)) {
--- a/rig/src/main/java/ashlink/rig/day/Troubles.java
+++ b/rig/src/main/java/ashlink/rig/day/Troubles.java
@@ -22,7 +22,6 @@
         String text = BriefSettings.resource("troubles/base.sexp").replace("NAME", name)
                 .replace("TROUBLES", BriefSettings.resource("troubles/" + name + ".sexp"));
         DayConfig d = DayConfigReader.read(name, text);
-        return new DayConfig(d.name(), d.durationNs(), d.seed(), d.routers(), d.engines(), d.ratePerS(), d.load(),
-                d.troubles(), d.settings() + more);
+        return d.with(d.seed(), d.httpShare(), more);
     }
 }
--- a/rig/src/main/java/ashlink/rig/load/LoadRun.java
+++ b/rig/src/main/java/ashlink/rig/load/LoadRun.java
@@ -35,21 +35,24 @@
             new Block.Column("value", "String", List.of("a", "b")));
 
     private record Arrival(long request, long atNs, LoadClass cls, double workMs, double patience, int router, String key,
-            long group) { }
+            long group, boolean http) { }
 
     private final DayConfig day;
     private final List<String> routers;
     private final Function<String, InetSocketAddress> addresses;
+    private final HttpLoad http;
     private final LoadConditions conditions;
     private final List<Try> tries = new ArrayList<>();
     private final Map<String, ArrayDeque<NativeClient>> idle = new ConcurrentHashMap<>();
     private final ExecutorService clients;
 
     /** A load on the routers of a day, under conditions that change meanwhile. */
-    public LoadRun(DayConfig day, Function<String, InetSocketAddress> addresses, LoadConditions conditions) {
+    public LoadRun(DayConfig day, Function<String, InetSocketAddress> addresses,
+            Function<String, InetSocketAddress> httpAddresses, LoadConditions conditions) {
         this.day = day;
         this.routers = day.routers().stream().map(DayConfig.RouterSpec::name).toList();
         this.addresses = addresses;
+        this.http = new HttpLoad(httpAddresses);
         this.conditions = conditions;
         this.clients = Executors.newCachedThreadPool(r -> {
             Thread t = new Thread(null, r, "rig-client", 256 << 10);
@@ -105,8 +108,9 @@
         int group = random.nextInt(cls.groups());
         router = key < 0 && hot >= 0 && toHotRouter ? hot : router;
         double patience = SHORTEST_PATIENCE + (1 - SHORTEST_PATIENCE) * random.nextDouble();
+        boolean overHttp = day.httpShare() > 0 && random.nextDouble() < day.httpShare();
         return new Arrival(request, atNs, cls, work, patience, router, key < 0 ? null : "k" + key,
-                toHotGroup ? 0 : group);
+                toHotGroup ? 0 : group, overHttp);
     }
 
     private void client(Arrival a) {
@@ -130,9 +134,32 @@
     }
 
     private Try attempt(Arrival a, int n, String router, long firstNs) {
-        LoadClass c = a.cls();
         String tag = a.request() + "." + n;
-        long patience = (long) (c.timeoutNs() * a.patience());
+        long patience = (long) (a.cls().timeoutNs() * a.patience());
+        return a.http() ? overHttp(a, n, tag, router, firstNs, patience) : overNative(a, n, tag, router, firstNs, patience);
+    }
+
+    private static Map<String, String> settings(Arrival a, long patience) {
+        Map<String, String> settings = new LinkedHashMap<>();
+        settings.put("max_execution_time", String.format(Locale.ROOT, "%.3f", patience / 1e9));
+        settings.put("ashlink_work_ms", String.format(Locale.ROOT, "%.1f", a.workMs()));
+        settings.put("ashlink_memory_mb", String.format(Locale.ROOT, "%.0f", a.cls().memoryMb()));
+        settings.put("ashlink_tables", Long.toString(a.group()));
+        if (a.key() != null) {
+            settings.put("ashlink_key", a.key());
+        }
+        return settings;
+    }
+
+    private Try overHttp(Arrival a, int n, String tag, String router, long firstNs, long patience) {
+        long from = System.nanoTime();
+        HttpLoad.Seen seen = http.run(router, a.cls(), statement(a, tag), settings(a, patience), "request-" + a.request(), patience);
+        return new Try(a.request(), tag, n, a.cls().name(), a.key(), router, a.workMs(), a.cls().threads(), firstNs, from,
+                from + patience, seen.sent(), seen.reply(), false);
+    }
+
+    private Try overNative(Arrival a, int n, String tag, String router, long firstNs, long patience) {
+        LoadClass c = a.cls();
         NativeClient client = null;
         long from = System.nanoTime();
         Reply reply;
@@ -141,15 +168,7 @@
         try {
             client = take(router, c.user());
             from = System.nanoTime();
-            Map<String, String> settings = new LinkedHashMap<>();
-            settings.put("max_execution_time", String.format(Locale.ROOT, "%.3f", patience / 1e9));
-            settings.put("ashlink_work_ms", String.format(Locale.ROOT, "%.1f", a.workMs()));
-            settings.put("ashlink_memory_mb", String.format(Locale.ROOT, "%.0f", c.memoryMb()));
-            settings.put("ashlink_tables", Long.toString(a.group()));
-            if (a.key() != null) {
-                settings.put("ashlink_key", a.key());
-            }
-            client.sendQuery(tag, statement(a, tag), settings);
+            client.sendQuery(tag, statement(a, tag), settings(a, patience));
             sent = true;
             reply = client.await(c.write() ? List.of(ROWS) : List.of(), from + patience);
             stray = reply.isFinal() && client.hasStray();
