OpenAPI description, examples and a query command for the statement API; its benchmarks

Need: users expect a description they can generate clients from, examples that work and a small client.

--- a/cli/src/main/java/ashlink/cli/BenchCommand.java
+++ b/cli/src/main/java/ashlink/cli/BenchCommand.java
@@ -1,6 +1,8 @@
 package ashlink.cli;
 
+import ashlink.rig.bench.BackgroundBench;
 import ashlink.rig.bench.CodecBench;
+import ashlink.rig.bench.HttpBench;
 import ashlink.rig.bench.RouterBench;
 import java.util.concurrent.Callable;
 import org.openjdk.jmh.runner.Runner;
@@ -19,12 +21,26 @@
     @Option(names = "--codec", description = "Measure the codec alone, with JMH.")
     private boolean codec;
 
+    @Option(names = "--http", description = "Measure the front over HTTP beside the native one.")
+    private boolean http;
+
+    @Option(names = "--background", description = "Measure short queries with and without background work at its limits.")
+    private boolean background;
+
     @Override
     public Integer call() throws Exception {
         if (codec) {
             new Runner(new OptionsBuilder().include(CodecBench.class.getName()).build()).run();
             return 0;
         }
+        if (http) {
+            new HttpBench(System.out, (long) (round * 1e9)).run();
+            return 0;
+        }
+        if (background) {
+            new BackgroundBench(System.out, (long) (round * 1e9)).run();
+            return 0;
+        }
         new RouterBench(System.out, (long) (round * 1e9)).run();
         return 0;
     }
--- a/cli/src/main/java/ashlink/cli/DemoCommand.java
+++ b/cli/src/main/java/ashlink/cli/DemoCommand.java
@@ -1,5 +1,7 @@
 package ashlink.cli;
 
+import ashlink.client.Answer;
+import ashlink.client.StatementClient;
 import ashlink.rig.client.NativeClient;
 import ashlink.rig.client.Reply;
 import ashlink.rig.fleet.BriefSettings;
@@ -7,6 +9,7 @@
 import ashlink.router.Router;
 import ashlink.standin.Ledger;
 import ashlink.standin.StandInEngine;
+import java.net.URI;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
@@ -24,17 +27,23 @@
     @Option(names = "--port", description = "Port of the router; 0 is any free one.", defaultValue = "0")
     private int port;
 
+    @Option(names = "--http-port", description = "Port of the router's HTTP front; 0 is any free one.", defaultValue = "0")
+    private int httpPort;
+
     @Option(names = "--once", description = "End after the queries that are shown.")
     private boolean once;
 
     @Override
     public Integer call() throws Exception {
         List<StandInEngine> engines = Engines.demo();
-        Router router = new Router(BriefSettings.of("demo", "halle-1", 0, 1, 1, port, engines, ""));
+        Router router = new Router(BriefSettings.of("demo", "halle-1", 0, 1, 1, port, engines,
+                "(http (listen 127.0.0.1:" + httpPort + "))"));
         router.start();
         boolean good = show(router, engines);
         System.out.println("The router listens on 127.0.0.1:" + router.address().getPort()
                 + " for any client of the native protocol; users: default, portal, billing (no password).");
+        System.out.println("Statements over HTTP: curl 'http://127.0.0.1:" + router.httpAddress().getPort()
+                + "/v1/statements?wait=10' -d 'SELECT 1'");
         if (!once) {
             System.out.println("Stop it with Ctrl-C.");
             new CountDownLatch(1).await();
@@ -51,6 +60,10 @@
             good &= run(billing, "report", "SELECT /* sim work_ms=80 threads=4 rows=12 */ sum(value) FROM readings");
             good &= run(portal, "load", "INSERT /* sim work_ms=60 threads=2 */ INTO readings SELECT * FROM inbox");
         }
+        Answer a = new StatementClient(URI.create("http://127.0.0.1:" + router.httpAddress().getPort()), "portal", "").run(
+                "SELECT /* sim work_ms=20 rows=3 */ value FROM readings WHERE meter = 8", Map.of(), null, null, 10 * S, page -> { });
+        System.out.printf("%-8s %-9s %3d rows over HTTP   %s%n", "look-up", a.kind(), a.rows(), a.detail());
+        good &= a.kind() == Answer.Kind.SERVED;
         for (StandInEngine e : engines) {
             for (Ledger.Entry entry : e.ledger().entries()) {
                 System.out.printf("  engine %s (%s, %s) ran %s: %s%n", e.config().name(), e.config().kind(),
--- a/cli/src/main/java/ashlink/cli/Main.java
+++ b/cli/src/main/java/ashlink/cli/Main.java
@@ -10,7 +10,7 @@
         exitCodeOnExecutionException = 1, synopsisSubcommandLabel = "COMMAND",
         subcommands = {RouteCommand.class, EngineCommand.class, DemoCommand.class, BadDayCommand.class,
             CheckCommand.class, ExplainCommand.class, ReplayCommand.class, WhyCommand.class,
-            CaptureCommand.class, BenchCommand.class, HashPasswordCommand.class, DrillCommand.class})
+            CaptureCommand.class, QueryCommand.class, BenchCommand.class, HashPasswordCommand.class, DrillCommand.class})
 public final class Main implements Runnable {
 
     /** Forms of the log. */
--- /dev/null
+++ b/rig/src/main/java/ashlink/rig/bench/HttpBench.java
@@ -0,0 +1,208 @@
+package ashlink.rig.bench;
+
+import ashlink.client.Answer;
+import ashlink.client.StatementClient;
+import ashlink.rig.client.NativeClient;
+import ashlink.rig.client.Reply;
+import ashlink.rig.fleet.BriefSettings;
+import ashlink.router.Router;
+import ashlink.standin.StandInEngine;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.stream.Stream;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** Both fronts of one router in one run: clients, router and engines share this process. */
+public final class HttpBench {
+
+    private static final long S = 1_000_000_000L;
+    private static final int ROUNDS = 5;
+    private static final int POLLS = 5_000;
+    private static final int WAITING = 2_000;
+    private static final String SHORT = "SELECT /* sim work_ms=0.001 */ 1";
+    private static final String LARGE = "SELECT /* sim work_ms=0.001 rows=1000 width=1035 blocks=1024 */ 1";
+
+    private final PrintStream out;
+    private final long roundNs;
+
+    /** A benchmark whose rounds last that long. */
+    public HttpBench(PrintStream out, long roundNs) {
+        this.out = out;
+        this.roundNs = roundNs;
+    }
+
+    /** Runs all of it. */
+    public void run() throws IOException, InterruptedException {
+        StandInEngine engine = Figures.engine("q1");
+        Path spool = Files.createTempDirectory("ashlink-bench");
+        Router router = new Router(BriefSettings.of("r1", "halle-1", 0, 1, 1, 0, List.of(engine), "(limits (drain-grace 2s))"
+                + "(http (listen 127.0.0.1:0) (spool \"" + spool + "\") (unpolled 10m) (idle 10m) (longest-wait 9m))"));
+        router.start();
+        URI server = URI.create("http://127.0.0.1:" + router.httpAddress().getPort());
+        closed(router, server, 1);
+        closed(router, server, 16);
+        large(router, server);
+        engine.hang(true);
+        waiting(router, server);
+        polls(router, server);
+        router.kill();
+        engine.crash();
+        try (Stream<Path> files = Files.walk(spool)) {
+            for (Path f : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(f);
+            }
+        }
+    }
+
+    private void closed(Router router, URI server, int connections) throws IOException, InterruptedException {
+        double[] natives = new double[ROUNDS];
+        double[] https = new double[ROUNDS];
+        double[] nativeMedian = new double[ROUNDS];
+        double[] httpMedian = new double[ROUNDS];
+        double[] ratio = new double[ROUNDS];
+        for (int i = -1; i < ROUNDS; i++) {
+            Loads.Seen n = Loads.closed(router.address(), connections, x -> SHORT, roundNs);
+            Histogram times = new ConcurrentHistogram(60 * S, 3);
+            double perSecond = http(server, connections, times);
+            if (i >= 0) {
+                natives[i] = n.perSecond();
+                https[i] = perSecond;
+                ratio[i] = perSecond / n.perSecond();
+                nativeMedian[i] = n.times().getValueAtPercentile(50) / 1e3;
+                httpMedian[i] = times.getValueAtPercentile(50) / 1e3;
+            }
+        }
+        out.printf("closed load, %d connections, short query: native %.0f/s median %.0f us, HTTP %.0f/s median %.0f us; HTTP over "
+                + "native %.2f [%.2f..%.2f]%n", connections, Figures.median(natives), Figures.median(nativeMedian),
+                Figures.median(https), Figures.median(httpMedian), Figures.median(ratio), Figures.least(ratio), Figures.most(ratio));
+    }
+
+    private double http(URI server, int connections, Histogram times) throws InterruptedException {
+        StatementClient client = new StatementClient(server, "portal", "");
+        CountDownLatch done = new CountDownLatch(connections);
+        long from = System.nanoTime();
+        for (int i = 0; i < connections; i++) {
+            Thread t = new Thread(() -> {
+                try {
+                    while (System.nanoTime() - from < roundNs) {
+                        long at = System.nanoTime();
+                        Answer a = client.run(SHORT, Map.of(), null, null, 30 * S, p -> { });
+                        if (a.kind() == Answer.Kind.SERVED) {
+                            times.recordValue(System.nanoTime() - at);
+                        }
+                    }
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                } finally {
+                    done.countDown();
+                }
+            }, "http-load");
+            t.setDaemon(true);
+            t.start();
+        }
+        done.await();
+        return times.getTotalCount() * (double) S / (System.nanoTime() - from);
+    }
+
+    /** A result of 1 GiB by the native protocol, and by pages of CSV through the spool. */
+    private void large(Router router, URI server) throws IOException, InterruptedException {
+        double[] natives = new double[3];
+        double[] pages = new double[3];
+        long count = 0;
+        long most = 0;
+        HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        for (int i = 0; i < 3; i++) {
+            try (NativeClient c = NativeClient.connect(router.address(), "portal")) {
+                long from = System.nanoTime();
+                Reply r = c.query("", LARGE, Map.of(), 60 * S);
+                natives[i] = r.bytes() / (double) (1 << 20) / ((r.endNs() - from) / 1e9);
+            }
+            long from = System.nanoTime();
+            long bytes = 0;
+            count = 0;
+            HttpRequest.Builder next = HttpRequest.newBuilder(server.resolve("/v1/statements?wait=60&max_execution_time=60"
+                    + "&ashlink_class=bericht")).POST(HttpRequest.BodyPublishers.ofString(LARGE));
+            while (next != null) {
+                HttpResponse<byte[]> r = client.send(next.header("Accept", "text/csv").build(), BodyHandlers.ofByteArray());
+                if (r.statusCode() != 200) {
+                    throw new IOException(r.statusCode() + " " + new String(r.body(), StandardCharsets.UTF_8));
+                }
+                bytes += r.body().length;
+                count++;
+                most = Math.max(most, router.http().spooled());
+                String link = r.headers().firstValue("Link").orElse("");
+                next = link.isEmpty() ? null : HttpRequest.newBuilder(server.resolve(
+                        link.substring(1, link.indexOf('>')) + "?wait=60"));
+            }
+            pages[i] = bytes / (double) (1 << 20) / ((System.nanoTime() - from) / 1e9);
+        }
+        out.printf("result of 1 GiB: native %.0f MiB/s, %d pages of CSV %.0f MiB/s, %.2f of it; %d MiB on the spool at most%n",
+                Figures.median(natives), count, Figures.median(pages), Figures.median(pages) / Figures.median(natives), most >> 20);
+    }
+
+    /** Memory of statements under way that nobody waits for. */
+    private void waiting(Router router, URI server) throws IOException, InterruptedException {
+        HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        System.gc();
+        long heap = Figures.used();
+        for (int i = 0; i < WAITING; i++) {
+            client.send(HttpRequest.newBuilder(server.resolve("/v1/statements?max_execution_time=600"))
+                    .POST(HttpRequest.BodyPublishers.ofString(SHORT)).build(), BodyHandlers.discarding());
+        }
+        System.gc();
+        out.printf("%d statements that wait: heap %.1f KiB each%n", router.http().open(), (Figures.used() - heap) / 1024.0 / WAITING);
+    }
+
+    /** Long polls of one statement on connections of their own: what they cost while they wait, and how long all take to wake. */
+    private void polls(Router router, URI server) throws IOException, InterruptedException {
+        HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        String body = client.send(HttpRequest.newBuilder(server.resolve("/v1/statements?max_execution_time=600"))
+                .POST(HttpRequest.BodyPublishers.ofString(SHORT)).build(), BodyHandlers.ofString()).body();
+        String id = body.replaceAll(".*\"id\":\"([^\"]+)\".*", "$1");
+        int threads = Thread.activeCount();
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < POLLS; i++) {
+            Socket s = new Socket();
+            s.connect(new InetSocketAddress("127.0.0.1", server.getPort()));
+            s.getOutputStream().write(("GET /v1/statements/" + id + "/pages/0?wait=500 HTTP/1.1\r\nHost: a\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            sockets.add(s);
+        }
+        Thread.sleep(1_000);
+        int more = Thread.activeCount() - threads;
+        long cpu = Figures.cpuNs();
+        Thread.sleep(5_000);
+        double share = (Figures.cpuNs() - cpu) / 5e9;
+        cpu = Figures.cpuNs();
+        long from = System.nanoTime();
+        client.send(HttpRequest.newBuilder(server.resolve("/v1/statements/" + id)).DELETE().build(), BodyHandlers.discarding());
+        int answered = 0;
+        for (Socket s : sockets) {
+            InputStream in = s.getInputStream();
+            answered += new String(in.readNBytes(12), StandardCharsets.US_ASCII).equals("HTTP/1.1 409") ? 1 : 0;
+        }
+        out.printf("%d long polls of one statement: %d more threads, %.1f%% of a core while they wait (with %d statements under way); "
+                + "%d answered %.0f ms after its end, for %.0f ms of CPU%n", POLLS, more, share * 100, router.http().open(), answered,
+                (System.nanoTime() - from) / 1e6, (Figures.cpuNs() - cpu) / 1e6);
+        for (Socket s : sockets) {
+            s.close();
+        }
+    }
+}
--- a/rig/src/main/java/ashlink/rig/bench/RouterBench.java
+++ b/rig/src/main/java/ashlink/rig/bench/RouterBench.java
@@ -2,7 +2,6 @@
 
 import ashlink.Gateway.Action;
 import ashlink.Rules;
-import ashlink.config.EngineConfig;
 import ashlink.rig.client.NativeClient;
 import ashlink.rig.client.Reply;
 import ashlink.rig.fleet.BriefSettings;
@@ -10,12 +9,10 @@
 import ashlink.standin.StandInEngine;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
@@ -41,14 +38,6 @@
         this.roundNs = roundNs;
     }
 
-    private static StandInEngine engine(String name) throws IOException {
-        // Cores without number: what is measured is the way to the engine, not the engine.
-        StandInEngine e = new StandInEngine(new EngineConfig(name, new InetSocketAddress("127.0.0.1", 0), "halle-1", "typ-a",
-                4096, 1 << 30, 1, 1.7, 0.35, 2, false, 10, 1, 0, 0, S, true, 100_000, 1, null));
-        e.start();
-        return e;
-    }
-
     private Router router(String name, int position, int gateways, List<StandInEngine> engines, String more)
             throws IOException {
         Router r = new Router(BriefSettings.of(name, "halle-1", position, gateways, 1, 0, engines,
@@ -67,7 +56,7 @@
 
     /** Runs all of it. */
     public void run() throws IOException, InterruptedException {
-        StandInEngine engine = engine("q1");
+        StandInEngine engine = Figures.engine("q1");
         try (Relay relay = new Relay(engine.address())) {
             Router router = router("r1", 0, 1, List.of(engine), "");
             Path folder = Files.createTempDirectory("ashlink-bench");
@@ -114,8 +103,8 @@
         }
         out.printf("closed load, %d connections, short query, %d rounds of %.1f s each way:%n", connections, ROUNDS,
                 roundNs / 1e9);
-        ways.keySet().forEach(w -> out.printf("  %-8s %8.0f/s [%.0f..%.0f]  median %7.1f us%n", w, median(rates.get(w)),
-                least(rates.get(w)), most(rates.get(w)), median(medians.get(w))));
+        ways.keySet().forEach(w -> out.printf("  %-8s %8.0f/s [%.0f..%.0f]  median %7.1f us%n", w, Figures.median(rates.get(w)),
+                Figures.least(rates.get(w)), Figures.most(rates.get(w)), Figures.median(medians.get(w))));
         double[] ratio = new double[ROUNDS];
         double[] added = new double[ROUNDS];
         double[] captured = new double[ROUNDS];
@@ -124,9 +113,9 @@
             added[i] = medians.get("router")[i] - medians.get("relay")[i];
             captured[i] = rates.get("captured")[i] / rates.get("router")[i];
         }
-        out.printf("  router over relay: throughput %.2f [%.2f..%.2f], added median %.0f us [%.0f..%.0f]%n", median(ratio),
-                least(ratio), most(ratio), median(added), least(added), most(added));
-        out.printf("  with capture over without: throughput %.2f [%.2f..%.2f]%n", median(captured), least(captured), most(captured));
+        out.printf("  router over relay: throughput %.2f [%.2f..%.2f], added median %.0f us [%.0f..%.0f]%n", Figures.median(ratio),
+                Figures.least(ratio), Figures.most(ratio), Figures.median(added), Figures.least(added), Figures.most(added));
+        out.printf("  with capture over without: throughput %.2f [%.2f..%.2f]%n", Figures.median(captured), Figures.least(captured), Figures.most(captured));
     }
 
     /** The same text each time, which is remembered, against texts that are all new and read each time. */
@@ -142,8 +131,8 @@
                     .times().getValueAtPercentile(50) / 1e3;
         }
         out.printf("statement of 200 characters, 1 connection: median %.1f us where its reading is remembered, %.1f us where it is "
-                + "read anew: %.1f us added [%.1f..%.1f]%n", median(known), median(fresh), median(fresh) - median(known),
-                least(fresh) - least(known), most(fresh) - most(known));
+                + "read anew: %.1f us added [%.1f..%.1f]%n", Figures.median(known), Figures.median(fresh), Figures.median(fresh) - Figures.median(known),
+                Figures.least(fresh) - Figures.least(known), Figures.most(fresh) - Figures.most(known));
     }
 
     /** A result of 1 GiB: 1,024 blocks of 1 MiB. */
@@ -155,7 +144,7 @@
         for (int round = 0; round < 3; round++) {
             for (Map.Entry<String, InetSocketAddress> w : ways.entrySet()) {
                 System.gc();
-                before = used();
+                before = Figures.used();
                 try (NativeClient c = NativeClient.connect(w.getValue(), "portal")) {
                     long from = System.nanoTime();
                     Reply r = c.query("", statement, Map.of(), 60 * S);
@@ -166,27 +155,27 @@
                             r.bytes() / (double) (1 << 20) / ((r.endNs() - from) / 1e9);
                 }
                 System.gc();
-                peak = Math.max(peak, used() - before);
+                peak = Math.max(peak, Figures.used() - before);
             }
         }
         out.printf("result of 1 GiB: direct %.0f, relay %.0f, router %.0f MiB/s; router over relay %.2f; memory left over after "
-                + "it %d KiB at most%n", median(rates.get("direct")), median(rates.get("relay")), median(rates.get("router")),
-                median(rates.get("router")) / median(rates.get("relay")), peak >> 10);
+                + "it %d KiB at most%n", Figures.median(rates.get("direct")), Figures.median(rates.get("relay")), Figures.median(rates.get("router")),
+                Figures.median(rates.get("router")) / Figures.median(rates.get("relay")), peak >> 10);
     }
 
     /** Memory of idle connections, both their ends in this process. */
     private void idle(Router router) throws IOException {
         int n = 2_000;
         System.gc();
-        long heap = used();
-        long resident = resident();
+        long heap = Figures.used();
+        long resident = Figures.resident();
         List<NativeClient> clients = new ArrayList<>();
         for (int i = 0; i < n; i++) {
             clients.add(NativeClient.connect(router.address(), "portal"));
         }
         System.gc();
         out.printf("%d idle connections: heap %.1f KiB each for both ends, resident %.1f KiB each%n", n,
-                (used() - heap) / 1024.0 / n, (resident() - resident) / 1024.0 / n);
+                (Figures.used() - heap) / 1024.0 / n, (Figures.resident() - resident) / 1024.0 / n);
         clients.forEach(NativeClient::close);
     }
 
@@ -194,7 +183,7 @@
     private void three() throws IOException, InterruptedException {
         List<StandInEngine> engines = new ArrayList<>();
         for (int i = 1; i <= 4; i++) {
-            engines.add(engine("q" + i));
+            engines.add(Figures.engine("q" + i));
         }
         List<Router> routers = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
@@ -202,10 +191,10 @@
         }
         List<InetSocketAddress> addresses = routers.stream().map(Router::address).toList();
         Loads.open(addresses, 60, SHORT, roundNs, 660);
-        long cpu = cpuNs();
+        long cpu = Figures.cpuNs();
         long deciding = decidingNs.get();
         Loads.Seen seen = Loads.open(addresses, 60, SHORT, 5 * roundNs, 660);
-        double each = (cpuNs() - cpu) / 1e3 / seen.times().getTotalCount();
+        double each = (Figures.cpuNs() - cpu) / 1e3 / seen.times().getTotalCount();
         out.printf("open load of 660/s over three routers: %.0f/s served, %d failed, median %.0f us, 99%% %.0f us; CPU a query "
                 + "%.0f us for clients, routers and engines together, of which the module's decisions %.0f us%n",
                 seen.perSecond(), seen.failed(), seen.times().getValueAtPercentile(50) / 1e3,
@@ -214,39 +203,4 @@
         routers.forEach(Router::kill);
         engines.forEach(StandInEngine::crash);
     }
-
-    private static long used() {
-        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
-    }
-
-    private static long resident() {
-        try {
-            for (String line : java.nio.file.Files.readAllLines(java.nio.file.Path.of("/proc/self/status"))) {
-                if (line.startsWith("VmRSS:")) {
-                    return Long.parseLong(line.replaceAll("[^0-9]", "")) << 10;
-                }
-            }
-        } catch (IOException e) {
-            return 0;
-        }
-        return 0;
-    }
-
-    private static long cpuNs() {
-        return ((com.sun.management.OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean()).getProcessCpuTime();
-    }
-
-    private static double median(double[] values) {
-        double[] sorted = values.clone();
-        Arrays.sort(sorted);
-        return sorted[sorted.length / 2];
-    }
-
-    private static double least(double[] values) {
-        return Arrays.stream(values).min().orElse(0);
-    }
-
-    private static double most(double[] values) {
-        return Arrays.stream(values).max().orElse(0);
-    }
 }
--- a/rig/src/test/java/ashlink/rig/HttpPeer.java
+++ b/rig/src/test/java/ashlink/rig/HttpPeer.java
@@ -12,6 +12,8 @@
 /** A client of the statement API for tests. */
 final class HttpPeer {
 
+    private static final Described DESCRIBED = new Described();
+
     private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(10)).build();
     private final InetSocketAddress address;
@@ -24,8 +26,11 @@
         return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + address.getPort() + path)).timeout(Duration.ofSeconds(60));
     }
 
+    /** Sends it, and holds the answer against the description. */
     HttpResponse<String> send(HttpRequest.Builder r) throws IOException, InterruptedException {
-        return client.send(r.build(), BodyHandlers.ofString());
+        HttpResponse<String> answer = client.send(r.build(), BodyHandlers.ofString());
+        DESCRIBED.check(answer);
+        return answer;
     }
 
     HttpClient client() {
