--- a/cli/src/main/java/ashlink/cli/RouteCommand.java
+++ b/cli/src/main/java/ashlink/cli/RouteCommand.java
@@ -36,6 +36,9 @@
         }, "stop"));
         Signals.handle("HUP", () -> reload(router));
         System.out.println("listening on " + router.address());
+        if (router.httpAddress() != null) {
+            System.out.println("statements over HTTP on " + router.httpAddress());
+        }
         stopped.await();
         return 0;
     }
