--- a/cli/src/main/java/ashlink/cli/BadDayCommand.java
+++ b/cli/src/main/java/ashlink/cli/BadDayCommand.java
@@ -102,14 +102,18 @@
         return d.with(seed == null ? d.seed() : seed, http == null ? d.httpShare() : http, captureSetting(d.name()));
     }
 
+    private static List<String> shares(Map<String, Double> of) {
+        return of.entrySet().stream().map(e -> String.format("%s %.3f", e.getKey(), e.getValue())).toList();
+    }
+
     private boolean play(DayConfig day, String name, Baseline.Policy baseline) throws Exception {
         DayFacts facts = new DayRun(day, s -> baseline == null ? new Rules(s) : new Baseline(baseline, s)).run();
         Service s = Service.of(facts);
         System.out.printf("%n%s, seed %d, decided by %s: %d queries, %d served, %d refused, %d failed, %d statements at "
                 + "engines%n", day.name(), day.seed(), name, s.asked(), s.served(), s.refused(), s.failed(),
                 facts.ledger().size());
-        System.out.printf("service %.3f, worst 10 s %.3f, by class %s%n", s.whole(), s.worstTenSeconds(), s.byClass()
-                .entrySet().stream().map(e -> String.format("%s %.3f", e.getKey(), e.getValue())).toList());
+        System.out.printf("service %.3f, worst 10 s %.3f, by class %s%s%n", s.whole(), s.worstTenSeconds(), shares(s.byClass()),
+                s.byFront().size() > 1 ? ", by front " + shares(s.byFront()) : "");
         if (notes != null) {
             write(facts, name);
         }
--- a/rig/src/main/java/ashlink/rig/load/LoadRun.java
+++ b/rig/src/main/java/ashlink/rig/load/LoadRun.java
@@ -155,7 +155,7 @@
         long from = System.nanoTime();
         HttpLoad.Seen seen = http.run(router, a.cls(), statement(a, tag), settings(a, patience), "request-" + a.request(), patience);
         return new Try(a.request(), tag, n, a.cls().name(), a.key(), router, a.workMs(), a.cls().threads(), firstNs, from,
-                from + patience, seen.sent(), seen.reply(), false);
+                from + patience, seen.sent(), seen.reply(), false, "http");
     }
 
     private Try overNative(Arrival a, int n, String tag, String router, long firstNs, long patience) {
@@ -184,7 +184,7 @@
             client.close();
         }
         return new Try(a.request(), tag, n, c.name(), a.key(), router, a.workMs(), c.threads(), firstNs, from,
-                from + patience, sent, reply, stray);
+                from + patience, sent, reply, stray, "native");
     }
 
     /** An idle connection that is still good, else a new one. */
--- a/rig/src/test/java/ashlink/rig/CheckerTest.java
+++ b/rig/src/test/java/ashlink/rig/CheckerTest.java
@@ -45,7 +45,7 @@
     private void client(String tag, String cls, String key, long sentMs, long endMs, Reply.Kind kind, int code) {
         tries.add(new Try(Long.parseLong(tag.substring(0, tag.indexOf('.'))), tag, 0, cls, key, "r1", 80, 1,
                 FROM + sentMs * MS, FROM + sentMs * MS, FROM + (sentMs + 2000) * MS, true,
-                new Reply(kind, code, "", 0, 0, FROM + endMs * MS), false));
+                new Reply(kind, code, "", 0, 0, FROM + endMs * MS), false, "native"));
     }
 
     private void engine(String tag, String engine, long beganMs, long untilMs, How how) {
--- a/router/src/main/java/ashlink/router/http/HttpStatement.java
+++ b/router/src/main/java/ashlink/router/http/HttpStatement.java
@@ -16,6 +16,7 @@
 import ashlink.wire.ServerError;
 import ashlink.wire.ServerPacket;
 import ashlink.wire.StreamSource;
+import ashlink.wire.WireException;
 import ashlink.wire.WireLimits;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
@@ -260,11 +261,26 @@
         if (open.size() > 0 && open.size() + (long) length > pageBytes) {
             closePage();
         }
-        open.append(from, offset, length);
+        if (length >= pageBytes || !gather(from, offset, length)) {
+            if (open.size() > 0) {
+                closePage();
+            }
+            publish(keep(Arrays.copyOfRange(from, offset, offset + length), length)); // a page of its own
+        }
         rows += count;
         bytes += length;
     }
 
+    /** False where there is no memory left to gather a page in: it is closed as it is then. */
+    private boolean gather(byte[] from, int offset, int length) {
+        try {
+            open.append(from, offset, length);
+            return true;
+        } catch (WireException e) {
+            return false;
+        }
+    }
+
     private boolean hasWaiters() {
         synchronized (state) {
             return !waiters.isEmpty();
@@ -272,10 +288,15 @@
     }
 
     private Stored keepPage() throws IOException {
+        Stored s = keep(open.array(), open.size());
+        open.clear();
+        return s;
+    }
+
+    private Stored keep(byte[] blocks, int length) throws IOException {
         try {
-            Stored s = store.store(id, user, window.closed(), open.array(), open.size(), inMemory, () -> closed);
+            Stored s = store.store(id, user, window.closed(), blocks, length, inMemory, () -> closed);
             inMemory += s.length();
-            open.clear();
             return s;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -284,7 +305,10 @@
     }
 
     private void closePage() throws IOException {
-        Stored s = keepPage();
+        publish(keepPage());
+    }
+
+    private void publish(Stored s) {
         List<Waiter> due;
         synchronized (state) {
             if (closed) {
