--- a/capture/src/test/java/ashlink/capture/FaultyDisk.java
+++ b/capture/src/main/java/ashlink/capture/log/FaultyDisk.java
@@ -1,6 +1,5 @@
-package ashlink.capture;
+package ashlink.capture.log;
 
-import ashlink.capture.log.Disk;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -8,15 +7,40 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
-/** A folder in memory whose disk fails as it is told: short writes, errors at sync, no space, power loss. */
-final class FaultyDisk implements Disk {
+/** A folder in memory whose disk fails as it is told: short writes, errors at sync, no space, power loss. For tests of all logs. */
+public final class FaultyDisk implements Disk {
 
     private final TreeMap<String, ByteArrayOutputStream> files = new TreeMap<>();
     private final TreeMap<String, Integer> synced = new TreeMap<>();
-    volatile boolean full;
-    volatile boolean syncFails;
-    volatile int shortWriteIn = -1;
-    volatile long delayMs;
+    private volatile boolean full;
+    private volatile boolean syncFails;
+    private volatile int shortWriteIn = -1;
+    private volatile long delayMs;
+
+    /** No space for anything more. */
+    public void full(boolean is) {
+        full = is;
+    }
+
+    /** Each sync fails. */
+    public void syncFails(boolean fails) {
+        syncFails = fails;
+    }
+
+    /** The write after so many others is cut in half and fails; below 0 none. */
+    public void shortWriteIn(int writes) {
+        shortWriteIn = writes;
+    }
+
+    /** Writes until the short one; below 0 where there is none to come. */
+    public int shortWriteIn() {
+        return shortWriteIn;
+    }
+
+    /** Each write and sync takes so long. */
+    public void delayMs(long ms) {
+        delayMs = ms;
+    }
 
     @Override
     public synchronized List<String> list() {
@@ -76,7 +100,7 @@
     }
 
     /** What may be left after the power went: all that was synced, and of the rest any part, torn or not there. */
-    synchronized FaultyDisk afterPowerLoss(SplittableRandom random) throws IOException {
+    public synchronized FaultyDisk afterPowerLoss(SplittableRandom random) throws IOException {
         FaultyDisk left = new FaultyDisk();
         for (String name : files.keySet()) {
             byte[] all = files.get(name).toByteArray();
@@ -90,7 +114,8 @@
         return left;
     }
 
-    synchronized void put(String name, byte[] bytes) throws IOException {
+    /** Puts a file there, synced. */
+    public synchronized void put(String name, byte[] bytes) throws IOException {
         ByteArrayOutputStream b = new ByteArrayOutputStream();
         b.write(bytes);
         files.put(name, b);
--- a/capture/src/test/java/ashlink/capture/CaptureRun.java
+++ b/capture/src/test/java/ashlink/capture/CaptureRun.java
@@ -2,6 +2,7 @@
 
 import ashlink.Rules;
 import ashlink.capture.events.Entry;
+import ashlink.capture.log.FaultyDisk;
 import ashlink.capture.log.FolderDisk;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -58,7 +59,7 @@
         List<Entry> day = CaptureTest.day(2, 50_000);
         for (long delay : new long[] {0, 20, 0, 20}) {
             FaultyDisk disk = new FaultyDisk();
-            disk.delayMs = delay;
+            disk.delayMs(delay);
             Recorder r = new Recorder(disk, 1, 64 << 20, GIB, 1 << 14, 100 * MS, MS, k -> k);
             long[] took = new long[day.size()];
             for (int i = 0; i < took.length; i++) {
--- /dev/null
+++ b/cli/src/main/java/ashlink/cli/KeysCommand.java
@@ -0,0 +1,120 @@
+package ashlink.cli;
+
+import ashlink.control.tls.Authority;
+import ashlink.control.tls.Identity;
+import ashlink.control.tls.Pem;
+import ashlink.control.tls.Role;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.cert.X509Certificate;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Keys of a fleet. */
+@Command(name = "keys", mixinStandardHelpOptions = true, description = "Makes and shows the keys of a fleet's control channel.",
+        subcommands = {KeysCommand.Renew.class, KeysCommand.Retire.class, KeysCommand.Issue.class, KeysCommand.Show.class})
+final class KeysCommand implements Callable<Integer> {
+
+    private static final int SOON_DAYS = 30;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "authority, retire, issue or show is missing");
+    }
+
+    /** Makes an authority. */
+    @Command(name = "authority", mixinStandardHelpOptions = true,
+            description = "Makes an authority; those before stay trusted until 'keys retire', so that certificates can be changed over.")
+    static final class Renew implements Callable<Integer> {
+        @Parameters(paramLabel = "DIR")
+        private Path dir;
+
+        @Option(names = "--days", description = "How long it lasts, ${DEFAULT-VALUE} if not given.")
+        private int days = 3650;
+
+        @Override
+        public Integer call() throws Exception {
+            new Authority(dir).renew(Duration.ofDays(days));
+            return 0;
+        }
+    }
+
+    /** Ends a change-over. */
+    @Command(name = "retire", mixinStandardHelpOptions = true, description = "Trusts only the newest authority from here on.")
+    static final class Retire implements Callable<Integer> {
+        @Parameters(paramLabel = "DIR")
+        private Path dir;
+
+        @Override
+        public Integer call() throws Exception {
+            new Authority(dir).retire();
+            return 0;
+        }
+    }
+
+    /** Issues certificates. */
+    @Command(name = "issue", mixinStandardHelpOptions = true, description = "Makes a key and certificate for each name.")
+    static final class Issue implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "DIR")
+        private Path dir;
+
+        @Parameters(index = "1..*", arity = "1..*", paramLabel = "NAME")
+        private List<String> names;
+
+        @Option(names = "--role", required = true, description = "router, or for operators observe, drain, stop; may be repeated.")
+        private List<Role> roles;
+
+        @Option(names = "--days", description = "How long they last, ${DEFAULT-VALUE} if not given.")
+        private int days = 365;
+
+        @Override
+        public Integer call() throws Exception {
+            Set<Role> of = EnumSet.copyOf(roles);
+            if (of.contains(Role.DRAIN) || of.contains(Role.STOP)) {
+                of.add(Role.OBSERVE);
+            }
+            for (String name : names) {
+                new Authority(dir).issue(name, of, Duration.ofDays(days));
+            }
+            return 0;
+        }
+    }
+
+    /** Shows certificates. */
+    @Command(name = "show", mixinStandardHelpOptions = true,
+            description = "Shows names, roles and ends of all certificates; 1 if one ends within " + SOON_DAYS + " days.")
+    static final class Show implements Callable<Integer> {
+        @Parameters(paramLabel = "DIR")
+        private Path dir;
+
+        @Override
+        public Integer call() throws Exception {
+            boolean soon = false;
+            List<Path> files;
+            try (Stream<Path> all = Files.list(dir)) {
+                files = all.filter(f -> f.toString().endsWith(".crt")).sorted().toList();
+            }
+            for (Path f : files) {
+                for (X509Certificate c : f.endsWith("ca.crt") ? Pem.certificates(f) : Pem.certificates(f).subList(0, 1)) {
+                    long days = Duration.between(Instant.now(), c.getNotAfter().toInstant()).toDays();
+                    soon |= days < SOON_DAYS;
+                    System.out.printf("%-24s %-28s ends %tF, in %d days%s%n", Identity.name(c), Identity.roles(c).stream()
+                            .map(Role::word).toList(), c.getNotAfter(), days, days < SOON_DAYS ? "  RENEW" : "");
+                }
+            }
+            return soon ? 1 : 0;
+        }
+    }
+}
--- a/cli/src/main/java/ashlink/cli/Main.java
+++ b/cli/src/main/java/ashlink/cli/Main.java
@@ -10,7 +10,7 @@
         exitCodeOnExecutionException = 1, synopsisSubcommandLabel = "COMMAND",
         subcommands = {RouteCommand.class, EngineCommand.class, DemoCommand.class, BadDayCommand.class,
             CheckCommand.class, ExplainCommand.class, ReplayCommand.class, WhyCommand.class,
-            CaptureCommand.class, QueryCommand.class, BenchCommand.class, HashPasswordCommand.class, DrillCommand.class})
+            CaptureCommand.class, QueryCommand.class, FleetCommand.class, KeysCommand.class, SuperviseCommand.class, BenchCommand.class, HashPasswordCommand.class, DrillCommand.class})
 public final class Main implements Runnable {
 
     /** Forms of the log. */
@@ -34,7 +34,7 @@
         line.setCaseInsensitiveEnumValuesAllowed(true);
         line.setExecutionStrategy(parsed -> {
             String name = parsed.subcommand() == null ? "" : parsed.subcommand().commandSpec().name();
-            boolean daemon = name.equals("route") || name.equals("engine");
+            boolean daemon = name.equals("route") || name.equals("engine") || name.equals("supervise");
             Logs.configure(main.log, main.level != null ? main.level : daemon ? "INFO" : "WARN");
             return new CommandLine.RunLast().execute(parsed);
         });
--- a/cli/src/main/java/ashlink/cli/RouteCommand.java
+++ b/cli/src/main/java/ashlink/cli/RouteCommand.java
@@ -1,9 +1,18 @@
 package ashlink.cli;
 
 import ashlink.config.ConfigException;
+import ashlink.config.RouterConfig;
 import ashlink.config.RouterConfigReader;
+import ashlink.control.node.Node;
 import ashlink.router.Router;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import org.slf4j.Logger;
@@ -11,9 +20,9 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
-/** Runs a router until it is told to stop. */
+/** Runs a router. */
 @Command(name = "route", mixinStandardHelpOptions = true,
-        description = "Runs a router. SIGTERM stops it in order, SIGHUP reads its settings again.")
+        description = "Runs a router until SIGTERM or SIGINT; SIGHUP reads its settings again.")
 final class RouteCommand implements Callable<Integer> {
 
     private static final Logger LOG = LoggerFactory.getLogger(RouteCommand.class);
@@ -21,28 +30,64 @@
     @Parameters(paramLabel = "CONFIG", description = "Settings of the router.")
     private Path file;
 
+    private final CountDownLatch told = new CountDownLatch(1);
+
     @Override
     public Integer call() throws Exception {
-        Router router = new Router(RouterConfigReader.read(file));
+        RouterConfig config = RouterConfigReader.read(file);
+        FileLock lock = config.stateDir() == null ? null : lock(config.stateDir());
+        Router router = new Router(config);
+        Node node = RouterNode.of(config, router, told::countDown); // what it knows of drains holds before the first query
+        CountDownLatch ended = new CountDownLatch(1);
         router.start();
-        CountDownLatch stopped = new CountDownLatch(1);
+        if (node != null) {
+            node.start();
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            told.countDown();
             try {
-                router.stop();
+                ended.await();
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-            stopped.countDown();
         }, "stop"));
         Signals.handle("HUP", () -> reload(router));
         System.out.println("listening on " + router.address());
         if (router.httpAddress() != null) {
             System.out.println("statements over HTTP on " + router.httpAddress());
         }
-        stopped.await();
+        if (node != null) {
+            System.out.println("control on " + node.address());
+        }
+        try {
+            told.await();
+            router.stop();
+            if (node != null) {
+                node.close();
+            }
+            if (lock != null) {
+                lock.channel().close();
+            }
+        } finally {
+            ended.countDown();
+        }
         return 0;
     }
 
+    /** One process a state folder: {@code router.pid} has its number, and is locked while it lives. */
+    private static FileLock lock(Path dir) throws IOException {
+        Files.createDirectories(dir);
+        FileChannel pid = FileChannel.open(dir.resolve("router.pid"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        FileLock lock = pid.tryLock();
+        if (lock == null) {
+            pid.close();
+            throw new IOException("another router runs on " + dir);
+        }
+        pid.truncate(0);
+        pid.write(ByteBuffer.wrap((ProcessHandle.current().pid() + "\n").getBytes(StandardCharsets.US_ASCII)));
+        return lock;
+    }
+
     private void reload(Router router) {
         try {
             router.reload(RouterConfigReader.read(file));
--- /dev/null
+++ b/cli/src/main/java/ashlink/cli/RouterNode.java
@@ -0,0 +1,62 @@
+package ashlink.cli;
+
+import ashlink.config.RouterConfig;
+import ashlink.control.node.Controlled;
+import ashlink.control.node.Node;
+import ashlink.control.tls.Identity;
+import ashlink.fleet.member.Terms;
+import ashlink.router.Router;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.security.GeneralSecurityException;
+import java.util.Set;
+
+/** A router as its node sees it. */
+final class RouterNode implements Controlled {
+
+    private final Router router;
+    private final Runnable stop;
+    private final long startedMs = System.currentTimeMillis();
+
+    private RouterNode(Router router, Runnable stop) {
+        this.router = router;
+        this.stop = stop;
+    }
+
+    /**
+     * Makes the node of a router that is not started, with the notices that it knows from before in force; null where the
+     * settings have no control channel.
+     */
+    static Node of(RouterConfig config, Router router, Runnable stop) throws IOException, GeneralSecurityException {
+        if (config.control().listen() == null) {
+            return null;
+        }
+        Node.Spec spec = new Node.Spec(config.name(), config.control().listen(), config.stateDir().resolve("notices"),
+                config.control().peers(), Terms.DEFAULT, config.seed() ^ System.nanoTime());
+        return new Node(spec, new Identity(config.control().keys(), config.name()), new RouterNode(router, stop));
+    }
+
+    @Override
+    public void drained(Set<String> engines) {
+        router.drained(engines);
+    }
+
+    @Override
+    public void refuse(boolean refuses) {
+        router.refuse(refuses);
+    }
+
+    @Override
+    public void stop() {
+        stop.run();
+    }
+
+    @Override
+    public void status(ObjectNode to) {
+        to.put("address", String.valueOf(router.address())).put("openRequests", router.core().openRequests())
+                .put("queued", router.core().queued()).put("upMs", System.currentTimeMillis() - startedMs);
+        if (router.httpAddress() != null) {
+            to.put("http", String.valueOf(router.httpAddress()));
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/ashlink/cli/SuperviseCommand.java
@@ -0,0 +1,72 @@
+package ashlink.cli;
+
+import ashlink.fleet.supervise.Restarts;
+import ashlink.fleet.supervise.Restarts.Decision;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/** Keeps a router running. */
+@Command(name = "supervise", mixinStandardHelpOptions = true, description = "Runs a router, and starts it again when it dies: "
+        + "at once after a good while, later and later after short runs. Ends when the router ends as it was told.")
+final class SuperviseCommand implements Callable<Integer> {
+
+    private static final Logger LOG = LoggerFactory.getLogger(SuperviseCommand.class);
+
+    @Parameters(paramLabel = "CONFIG", description = "Settings of the router.")
+    private Path file;
+
+    private volatile Process child;
+    private volatile boolean asked;
+
+    /** The command line of this program, for a sub-command. */
+    static List<String> ownCommand(String... arguments) {
+        List<String> command = new java.util.ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), Main.class.getName()));
+        command.addAll(List.of(arguments));
+        return command;
+    }
+
+    @Override
+    public Integer call() throws Exception {
+        Restarts restarts = new Restarts(Restarts.Terms.DEFAULT);
+        Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
+        while (true) {
+            long from = System.nanoTime();
+            child = new ProcessBuilder(ownCommand("route", file.toString())).inheritIO().start();
+            int status = child.waitFor();
+            Decision d = restarts.ended(from, System.nanoTime(), status, asked);
+            switch (d.what()) {
+                case DONE -> {
+                    return 0;
+                }
+                case GIVE_UP -> {
+                    LOG.error("the router does not start with these settings");
+                    return 2;
+                }
+                case AGAIN -> LOG.warn("the router died with status {}; it starts again in {} ms", status, d.pauseNs() / 1_000_000);
+                case LOOP -> LOG.error("the router dies again and again, now with status {}; next start in {} s", status,
+                        TimeUnit.NANOSECONDS.toSeconds(d.pauseNs()));
+            }
+            TimeUnit.NANOSECONDS.sleep(d.pauseNs());
+        }
+    }
+
+    private void end() {
+        asked = true;
+        Process p = child;
+        if (p != null) {
+            p.destroy();
+            try {
+                p.waitFor(60, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
--- a/cli/src/test/java/ashlink/cli/ArchitectureTest.java
+++ b/cli/src/test/java/ashlink/cli/ArchitectureTest.java
@@ -32,6 +32,8 @@
             .layer("spool").definedBy("ashlink.router.spool..")
             .layer("http").definedBy("ashlink.router.http..")
             .layer("assembly").definedBy("ashlink.router")
+            .layer("fleet").definedBy("ashlink.fleet..")
+            .layer("control").definedBy("ashlink.control..")
             .layer("client").definedBy("ashlink.client..")
             .layer("standin").definedBy("ashlink.standin..")
             .layer("rig").definedBy("ashlink.rig..")
@@ -52,6 +54,8 @@
             .whereLayer("capture").mayOnlyAccessLayers("decisions")
             .whereLayer("upstream").mayOnlyAccessLayers("decisions", "config", "wire", "core", "list")
             .whereLayer("front").mayOnlyAccessLayers("decisions", "config", "wire", "core", "classify", "upstream", "sql")
+            .whereLayer("fleet").mayNotAccessAnyLayer()
+            .whereLayer("control").mayOnlyAccessLayers("background", "capture", "fleet")
             .whereLayer("client").mayNotAccessAnyLayer()
             .whereLayer("standin").mayOnlyAccessLayers("wire", "config")
             .whereLayer("cli").mayNotBeAccessedByAnyLayer();
@@ -64,7 +68,7 @@
     /** What decides has no I/O, clock or unseeded randomness. */
     @ArchTest
     static final ArchRule DECISIONS_ARE_PURE = noClasses().that().resideInAnyPackage("ashlink", "ashlink.router.classify..",
-            "ashlink.sql..", "ashlink.standin.model..", "ashlink.background.plan..", "ashlink.router.statement..").should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.io..",
+            "ashlink.sql..", "ashlink.standin.model..", "ashlink.background.plan..", "ashlink.fleet..", "ashlink.router.statement..").should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.io..",
             "java.nio.file..", "java.time..").orShould().callMethod(System.class, "nanoTime")
             .orShould().callMethod(System.class, "currentTimeMillis");
 
--- /dev/null
+++ b/cli/src/test/java/ashlink/cli/FleetProcessTest.java
@@ -0,0 +1,190 @@
+package ashlink.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ashlink.control.tls.Authority;
+import ashlink.control.tls.Role;
+import ashlink.rig.client.NativeClient;
+import ashlink.rig.fleet.BriefSettings;
+import ashlink.rig.fleet.Engines;
+import ashlink.standin.Ledger;
+import ashlink.standin.StandInEngine;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+
+/**
+ * Routers as processes of their own, under load, handled by the tool: a drain that reaches half of them, one of which is killed
+ * at once; the engines' ledgers tell when the last fresh work came.
+ */
+class FleetProcessTest {
+
+    private static final int ROUTERS = Integer.getInteger("ashlink.routers", 4);
+    private static final int DRAINS = Integer.getInteger("ashlink.drains", 2);
+    private static final long S = 1_000_000_000L;
+    private static final Duration DAY = Duration.ofDays(1);
+
+    private final List<Integer> ports = new ArrayList<>();
+    private final List<Process> processes = new ArrayList<>();
+    private final AtomicBoolean over = new AtomicBoolean();
+
+    private static int[] free(int count) throws IOException {
+        List<ServerSocket> held = new ArrayList<>();
+        int[] ports = new int[count];
+        for (int i = 0; i < count; i++) {
+            held.add(new ServerSocket(0));
+            ports[i] = held.get(i).getLocalPort();
+        }
+        for (ServerSocket s : held) {
+            s.close();
+        }
+        return ports;
+    }
+
+    private Process launch(Path dir, int i) throws IOException {
+        return new ProcessBuilder(SuperviseCommand.ownCommand("--log-level", "ERROR", "route", dir.resolve("r" + i + ".sexp").toString()))
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+    }
+
+    private static int fleet(Path dir, String... arguments) {
+        List<String> all = new ArrayList<>(List.of("fleet"));
+        all.addAll(List.of(arguments));
+        all.addAll(List.of("--inventory", dir.resolve("fleet.sexp").toString()));
+        PrintStream out = System.out;
+        try {
+            System.setOut(new PrintStream(new ByteArrayOutputStream()));
+            return new CommandLine(new Main()).setCaseInsensitiveEnumValuesAllowed(true).execute(all.toArray(new String[0]));
+        } finally {
+            System.setOut(out);
+        }
+    }
+
+    /** Short queries on all routers, until it is over; connections that break are made again. */
+    private void load(int i) {
+        while (!over.get()) {
+            try (NativeClient c = NativeClient.connect(new InetSocketAddress("127.0.0.1", ports.get(i)), "portal")) {
+                while (!over.get() && c.query("", "SELECT /* sim tag=load work_ms=2 */ 1", Map.of(), 5 * S).isFinal()) {
+                    Thread.sleep(4);
+                }
+            } catch (IOException e) {
+                pause();
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(20);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static long lastFresh(StandInEngine e) {
+        return e.ledger().entries().stream().filter(x -> x.tag.equals("load")).mapToLong(x -> x.beganNs).max().orElse(0);
+    }
+
+    @Test
+    void noFreshWorkTwoSecondsAfterADrainThatReachedHalf(@TempDir Path dir) throws Exception {
+        List<StandInEngine> engines = Engines.demo();
+        Authority authority = new Authority(dir.resolve("keys"));
+        authority.renew(DAY);
+        authority.issue("ann", Set.of(Role.OBSERVE, Role.DRAIN, Role.STOP), DAY);
+        int[] free = free(2 * ROUTERS);
+        StringBuilder inventory = new StringBuilder("(fleet (keys \"keys\") (operator ann)\n");
+        for (int i = 0; i < ROUTERS; i++) {
+            ports.add(free[2 * i]);
+            authority.issue("r" + i, Set.of(Role.ROUTER), DAY);
+            StringBuilder peers = new StringBuilder();
+            for (int j = 0; j < ROUTERS; j++) {
+                if (j != i) {
+                    peers.append(" (peer r").append(j).append(" (address 127.0.0.1:").append(free[2 * j + 1]).append("))");
+                }
+            }
+            Files.writeString(dir.resolve("r" + i + ".sexp"), BriefSettings.text("r" + i, "halle-1", i, ROUTERS, 7 + i, free[2 * i], engines,
+                    "(state-dir \"" + dir.resolve("r" + i) + "\") (control (listen 127.0.0.1:" + free[2 * i + 1] + ") (keys \""
+                    + dir.resolve("keys") + "\")" + peers + ")"));
+            inventory.append("  (router r").append(i).append(" (hall halle-").append(1 + i % 3).append(") (control 127.0.0.1:")
+                    .append(free[2 * i + 1]).append("))\n");
+        }
+        Files.writeString(dir.resolve("fleet.sexp"), inventory.append(")\n").toString());
+        List<Thread> clients = new ArrayList<>();
+        List<Long> times = new ArrayList<>();
+        try {
+            for (int i = 0; i < ROUTERS; i++) {
+                processes.add(launch(dir, i));
+            }
+            long until = System.nanoTime() + 90 * S;
+            while (fleet(dir, "status") != 0 && System.nanoTime() < until) {
+                Thread.sleep(200);
+            }
+            for (int i = 0; i < ROUTERS; i++) {
+                int n = i;
+                Thread t = new Thread(() -> load(n), "load");
+                t.setDaemon(true);
+                t.start();
+                clients.add(t);
+            }
+            for (int d = 0; d < DRAINS; d++) {
+                StandInEngine engine = engines.get(d % engines.size());
+                String name = engine.config().name();
+                awaitFresh(engine, System.nanoTime());
+                List<String> half = new ArrayList<>(List.of("drain", name, "--wait", "0", "--for", "1"));
+                for (int i = 0; i < (ROUTERS + 1) / 2; i++) {
+                    half.addAll(List.of("--router", "r" + i));
+                }
+                long noticeNs = System.nanoTime();
+                fleet(dir, half.toArray(new String[0]));
+                processes.get(0).destroyForcibly(); // it knew of the drain
+                processes.get(0).waitFor(20, TimeUnit.SECONDS);
+                processes.set(0, launch(dir, 0)); // and is back while it holds
+                Thread.sleep(4_500);
+                long last = lastFresh(engine);
+                times.add((last - noticeNs) / 1_000_000);
+                assertTrue(last < noticeNs + 2 * S, "fresh work " + (last - noticeNs) / 1e9 + " s after the notice at " + name);
+                assertEquals(0, fleet(dir, "undrain", name), "all know that it is over");
+                awaitFresh(engine, System.nanoTime());
+            }
+            processes.get(1).destroyForcibly().waitFor(20, TimeUnit.SECONDS);
+            assertEquals(3, fleet(dir, "status", "--timeout", "1"), "some, not all");
+            assertEquals(4, fleet(dir, "status", "--timeout", "1", "--router", "r1"), "none");
+        } finally {
+            over.set(true);
+            for (Thread t : clients) {
+                t.join(10_000);
+            }
+            for (Process p : processes) {
+                p.destroyForcibly().waitFor(20, TimeUnit.SECONDS);
+            }
+            engines.forEach(StandInEngine::crash);
+        }
+        System.out.printf("%d routers, %d drains that reached half of them, one of these killed at once: last fresh work after the notice, "
+                + "in ms: %s%n", ROUTERS, DRAINS, times);
+    }
+
+    /** The drained engine was at stake: it gets work before, and again afterwards. */
+    private static void awaitFresh(StandInEngine e, long sinceNs) throws InterruptedException {
+        long until = System.nanoTime() + 60 * S;
+        while (lastFresh(e) < sinceNs) {
+            assertTrue(System.nanoTime() < until, e.config().name() + " gets no work");
+            Thread.sleep(20);
+        }
+    }
+}
--- a/config/src/main/java/ashlink/config/RouterConfig.java
+++ b/config/src/main/java/ashlink/config/RouterConfig.java
@@ -22,7 +22,7 @@
         Map<String, QueryClass> classes, List<ClassRule> rules, String defaultClass, String defaultWriteClass,
         Map<String, UserSpec> users, List<Tenant> tenants, double overShareWorth, Allowed allowed, Limits limits,
         Gauges gauges, EngineLogin engineLogin,
-        CaptureSpec capture, HttpSpec http) {
+        CaptureSpec capture, HttpSpec http, ControlSpec control) {
 
     /** An engine of the list. */
     public record EngineSpec(String name, InetSocketAddress address, String zone, String kind, long cell, Phase phase) { }
@@ -58,6 +58,14 @@
             int connections, long headerNs, long bodyNs, long idleNs, long renderBytes, int keys, long keyNs,
             Map<String, String> peers) { }
 
+    /**
+     * The control channel; {@code listen} null: there is none.
+     *
+     * @param keys folder with {@code ca.crt}, and {@code NAME.crt} and {@code NAME.key} of this router
+     * @param peers control addresses of the other routers, by name
+     */
+    public record ControlSpec(InetSocketAddress listen, Path keys, Map<String, InetSocketAddress> peers) { }
+
     /** What the router logs in as at the engines. */
     public record EngineLogin(String user, String password) { }
 
--- a/config/src/main/java/ashlink/config/RouterConfigReader.java
+++ b/config/src/main/java/ashlink/config/RouterConfigReader.java
@@ -11,6 +11,7 @@
 import ashlink.config.RouterConfig.Bounds;
 import ashlink.config.RouterConfig.CaptureSpec;
 import ashlink.config.RouterConfig.ClassRule;
+import ashlink.config.RouterConfig.ControlSpec;
 import ashlink.config.RouterConfig.EngineLogin;
 import ashlink.config.RouterConfig.EngineSpec;
 import ashlink.config.RouterConfig.Gauge;
@@ -113,7 +114,7 @@
         Path stateDir = top.has("state-dir") ? Path.of(top.text("state-dir", "")) : null;
         return new RouterConfig(name, zone, top.whole("seed", 1L, 0, Long.MAX_VALUE / 2), gateways, position, listen,
                 metrics, stateDir, bounds(), kinds, engines, classes, rules, defaultClass, defaultWrite, users, tenants,
-                top.number("over-share-worth", 1.0, 0, 1), allowed(), limits(), gauges(), login, capture(), http());
+                top.number("over-share-worth", 1.0, 0, 1), allowed(), limits(), gauges(), login, capture(), http(), control());
     }
 
     private static String names(Collection<QueryClass> classes) {
@@ -264,6 +265,23 @@
         }
     }
 
+    private ControlSpec control() {
+        try (Section s = top.section("control")) {
+            InetSocketAddress listen = s.has("listen") ? s.address("listen", null) : null;
+            Map<String, InetSocketAddress> peers = new LinkedHashMap<>();
+            s.named("peer").forEach((name, peer) -> {
+                try (peer) {
+                    peers.put(name, peer.address("address", null));
+                }
+            });
+            String keys = s.text("keys", listen == null ? "" : null);
+            if (listen != null && !top.has("state-dir")) {
+                s.problem("listen", "a control channel together with a state-dir, which keeps the notices");
+            }
+            return new ControlSpec(listen, Path.of(keys), Map.copyOf(peers));
+        }
+    }
+
     private HttpSpec http() {
         try (Section s = top.section("http")) {
             long page = s.size("page", MIB, 1024, 64 * MIB);
--- /dev/null
+++ b/control/src/main/java/ashlink/control/channel/ControlClient.java
@@ -0,0 +1,74 @@
+package ashlink.control.channel;
+
+import ashlink.control.tls.Identity;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.security.cert.X509Certificate;
+import javax.net.ssl.SSLSocket;
+
+/** A connection to a router's control channel. */
+public final class ControlClient implements AutoCloseable {
+
+    private final SSLSocket socket;
+    private final DataInputStream in;
+    private final DataOutputStream out;
+    private final String peer;
+
+    /** Connects within that time; {@code expected} is the name that the router's certificate must give, or null for any. */
+    public ControlClient(Identity identity, InetSocketAddress to, String expected, int timeoutMs) throws IOException {
+        Socket plain = new Socket();
+        try {
+            plain.setTcpNoDelay(true);
+            plain.connect(to, timeoutMs);
+            plain.setSoTimeout(timeoutMs);
+            socket = (SSLSocket) identity.context().getSocketFactory().createSocket(plain, to.getHostString(), to.getPort(), true);
+            socket.startHandshake();
+            peer = Identity.name((X509Certificate) socket.getSession().getPeerCertificates()[0]);
+            if (expected != null && !peer.equals(expected)) {
+                throw new IOException("at " + to + " is " + peer + ", not " + expected);
+            }
+            in = new DataInputStream(new BufferedInputStream(socket.getInputStream(), 16 << 10));
+            out = new DataOutputStream(socket.getOutputStream());
+        } catch (IOException | RuntimeException e) {
+            plain.close();
+            throw e;
+        }
+    }
+
+    /** Who is at the other end, by its certificate. */
+    public String peer() {
+        return peer;
+    }
+
+    /** Sends a frame that has no answer. */
+    public void send(JsonNode frame) throws IOException {
+        Frames.write(out, frame);
+    }
+
+    /** Sends a frame and waits for its answer; one that tells of an error is an exception. */
+    public JsonNode ask(JsonNode frame) throws IOException {
+        send(frame);
+        JsonNode answer = Frames.read(in);
+        if (answer == null) {
+            throw Frames.ended();
+        }
+        if (answer.has("error")) {
+            throw new IOException(peer + ": " + answer.get("error").asText());
+        }
+        return answer;
+    }
+
+    @Override
+    public void close() {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // it is gone either way
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/ashlink/control/channel/ControlServer.java
@@ -0,0 +1,158 @@
+package ashlink.control.channel;
+
+import ashlink.background.plan.Budget;
+import ashlink.control.tls.Identity;
+import ashlink.control.tls.Role;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.security.cert.X509Certificate;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import javax.net.ssl.SSLServerSocket;
+import javax.net.ssl.SSLSocket;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes connections of routers and operators. Each shows a certificate of the fleet; each has its rate, past which its frames
+ * are read later; past the number of connections further ones are closed.
+ */
+public final class ControlServer implements AutoCloseable {
+
+    private static final Logger LOG = LoggerFactory.getLogger(ControlServer.class);
+    private static final int MOST_CONNECTIONS = 512;
+    private static final int HANDSHAKE_MS = 5_000;
+    private static final int IDLE_MS = 120_000;
+    private static final double FRAMES_BURST = 500;
+    private static final double FRAMES_PER_S = 500;
+    private static final long STACK_BYTES = 256 << 10;
+
+    /** Who sent a frame, by its certificate. */
+    public record Peer(String name, Set<Role> roles, String address) { }
+
+    /** Does what a frame asks; the answer goes back, none where it is null. */
+    public interface Handler {
+        /** May wait; an exception with its message is the answer. */
+        JsonNode handle(Peer from, JsonNode frame) throws IOException;
+    }
+
+    private final SSLServerSocket server;
+    private final Handler handler;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private final String name;
+    private volatile boolean closed;
+
+    /** A server at that address, which shows that identity; it takes connections from {@link #start} on. */
+    public ControlServer(Identity identity, InetSocketAddress at, Handler handler) throws IOException {
+        this.handler = handler;
+        this.name = identity.name();
+        server = (SSLServerSocket) identity.context().getServerSocketFactory().createServerSocket();
+        server.setReuseAddress(true);
+        server.bind(at, 256);
+        server.setNeedClientAuth(true);
+    }
+
+    /** Starts to take connections. */
+    public void start() {
+        thread(this::accept, name + "-control").start();
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) server.getLocalSocketAddress();
+    }
+
+    private static Thread thread(Runnable r, String name) {
+        Thread t = new Thread(null, r, name, STACK_BYTES);
+        t.setDaemon(true);
+        return t;
+    }
+
+    private void accept() {
+        while (!closed) {
+            try {
+                SSLSocket s = (SSLSocket) server.accept();
+                if (sockets.size() >= MOST_CONNECTIONS) {
+                    LOG.warn("control connection of {} closed: {} are open, which is the limit", s.getRemoteSocketAddress(),
+                            sockets.size());
+                    s.close();
+                    continue;
+                }
+                sockets.add(s);
+                thread(() -> serve(s), name + "-control-" + s.getPort()).start();
+            } catch (IOException e) {
+                if (!closed) {
+                    LOG.warn("control: no connection could be taken: {}", e.toString());
+                    pause(50_000_000L);
+                }
+            }
+        }
+    }
+
+    private static void pause(long ns) {
+        try {
+            TimeUnit.NANOSECONDS.sleep(ns);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void serve(SSLSocket s) {
+        try (s) {
+            s.setTcpNoDelay(true);
+            s.setSoTimeout(HANDSHAKE_MS);
+            s.startHandshake();
+            X509Certificate c = (X509Certificate) s.getSession().getPeerCertificates()[0];
+            Peer peer = new Peer(Identity.name(c), Identity.roles(c), String.valueOf(s.getRemoteSocketAddress()));
+            s.setSoTimeout(IDLE_MS);
+            Budget rate = new Budget(FRAMES_BURST, FRAMES_PER_S);
+            DataInputStream in = new DataInputStream(new BufferedInputStream(s.getInputStream(), 16 << 10));
+            DataOutputStream out = new DataOutputStream(s.getOutputStream());
+            for (JsonNode frame = Frames.read(in); frame != null && !closed; frame = Frames.read(in)) {
+                while (!rate.take(1, System.nanoTime())) {
+                    pause(rate.waitNs(1, System.nanoTime())); // a flood waits in its own socket
+                }
+                JsonNode answer = answer(peer, frame);
+                if (answer != null) {
+                    Frames.write(out, answer);
+                }
+            }
+        } catch (IOException e) {
+            LOG.info("control connection of {} ended: {}", s.getRemoteSocketAddress(), e.toString());
+        } finally {
+            sockets.remove(s);
+        }
+    }
+
+    private JsonNode answer(Peer peer, JsonNode frame) {
+        try {
+            return handler.handle(peer, frame);
+        } catch (IOException | RuntimeException e) {
+            LOG.info("control: {} asked in vain: {}", peer.name(), e.toString());
+            return Frames.JSON.createObjectNode().put("error", String.valueOf(e.getMessage()));
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        try {
+            server.close();
+        } catch (IOException e) {
+            LOG.debug("control: {}", e.toString());
+        }
+        for (Socket s : sockets) {
+            try {
+                s.close();
+            } catch (IOException e) {
+                LOG.debug("control: {}", e.toString());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/ashlink/control/channel/Frames.java
@@ -0,0 +1,66 @@
+package ashlink.control.channel;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.core.JsonFactory;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+
+/** Frames: four bytes of length, then JSON. One that is too long or makes no sense ends the connection. */
+final class Frames {
+
+    static final int MOST_BYTES = 256 << 10;
+    static final ObjectMapper JSON = JsonMapper.builder(JsonFactory.builder()
+            .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(16).build()).build())
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
+
+    private Frames() { }
+
+    /** The next frame, or null where the peer closed between frames. */
+    static JsonNode read(DataInputStream in) throws IOException {
+        int first = in.read();
+        if (first < 0) {
+            return null;
+        }
+        int length = first << 24 | in.readUnsignedByte() << 16 | in.readUnsignedByte() << 8 | in.readUnsignedByte();
+        if (length <= 0 || length > MOST_BYTES) {
+            throw new IOException("a frame says that it has " + length + " bytes; the limit is " + MOST_BYTES);
+        }
+        byte[] bytes = new byte[length];
+        in.readFully(bytes);
+        try {
+            JsonNode n = JSON.readTree(bytes);
+            if (n != null && n.isObject()) {
+                return n;
+            }
+        } catch (JsonProcessingException e) {
+            throw new IOException("a frame is no JSON: " + e.getOriginalMessage());
+        }
+        throw new IOException("a frame is no JSON object");
+    }
+
+    static void write(DataOutputStream out, JsonNode n) throws IOException {
+        byte[] bytes = JSON.writeValueAsBytes(n);
+        if (bytes.length > MOST_BYTES) {
+            throw new IOException("a frame of " + bytes.length + " bytes is over the limit of " + MOST_BYTES);
+        }
+        byte[] frame = new byte[4 + bytes.length];
+        frame[0] = (byte) (bytes.length >>> 24);
+        frame[1] = (byte) (bytes.length >>> 16);
+        frame[2] = (byte) (bytes.length >>> 8);
+        frame[3] = (byte) bytes.length;
+        System.arraycopy(bytes, 0, frame, 4, bytes.length);
+        out.write(frame);
+        out.flush();
+    }
+
+    static EOFException ended() {
+        return new EOFException("the peer closed the connection");
+    }
+}
--- /dev/null
+++ b/control/src/main/java/ashlink/control/node/Node.java
@@ -0,0 +1,343 @@
+package ashlink.control.node;
+
+import ashlink.capture.log.Disk;
+import ashlink.capture.log.FolderDisk;
+import ashlink.control.channel.ControlServer;
+import ashlink.control.channel.ControlServer.Peer;
+import ashlink.control.tls.Identity;
+import ashlink.control.tls.Role;
+import ashlink.fleet.member.Rumor;
+import ashlink.fleet.member.Swim;
+import ashlink.fleet.member.Terms;
+import ashlink.fleet.notice.Intent;
+import ashlink.fleet.notice.Notice;
+import ashlink.fleet.notice.NoticeSet;
+import ashlink.fleet.notice.NoticeSet.Held;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A router as a member of its fleet. Notices are synced to disk, then done, then carried on: to all peers at once, and by
+ * comparing with one peer a second, whatever is held of it, so that what was lost on the way arrives all the same.
+ */
+public final class Node implements AutoCloseable {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+    private static final Logger AUDIT = LoggerFactory.getLogger("ashlink.control.audit");
+    private static final long MS = 1_000_000L;
+    private static final long LOOK_NS = 10 * MS;
+    private static final long COMPARE_NS = 1_000 * MS;
+    /** Peers that a notice is told at once: all up to so many, a sample beyond. */
+    private static final int ALL = 32;
+    private static final int SAMPLE = 6;
+    private static final int MOST_NOTICES = 1_000;
+    private static final int CHUNK = 200;
+    private static final long DAY_MS = 86_400_000L;
+
+    /** A node's settings; {@code peers} are the other routers by name. */
+    public record Spec(String name, InetSocketAddress listen, Path state, Map<String, InetSocketAddress> peers, Terms terms,
+            long seed) { }
+
+    private final Spec spec;
+    private final Identity identity;
+    private final Controlled controlled;
+    private final ControlServer server;
+    private final Map<String, PeerLink> links = new HashMap<>();
+    private final NoticeSet notices = new NoticeSet(MOST_NOTICES, 30 * DAY_MS, 60 * DAY_MS);
+    private final NoticeJournal journal;
+    private final SplittableRandom random;
+    private final Set<Notice> obeyed = new HashSet<>();
+    private final Map<Notice, Long> learntMs = new HashMap<>();
+    private final Thread thread;
+    private Swim swim;
+    private boolean unsaved;
+    private volatile boolean closed;
+
+    /** A node that knows its notices from before: they are in force when this returns. */
+    public Node(Spec spec, Identity identity, Controlled controlled) throws IOException {
+        this(spec, identity, controlled, FolderDisk.writing(spec.state()));
+    }
+
+    /** The same with another disk. */
+    public Node(Spec spec, Identity identity, Controlled controlled, Disk disk) throws IOException {
+        this.spec = spec;
+        this.identity = identity;
+        this.controlled = controlled;
+        this.random = new SplittableRandom(spec.seed());
+        this.journal = new NoticeJournal(disk, notices, System.currentTimeMillis());
+        notices.all(nowMs()).stream().filter(h -> h.notice().intent() == Intent.STOP).forEach(h -> obeyed.add(h.notice()));
+        this.server = new ControlServer(identity, spec.listen(), this::handle);
+        this.thread = new Thread(null, this::run, spec.name() + "-gossip", 256 << 10);
+        thread.setDaemon(true);
+        apply();
+    }
+
+    private static long nowMs() {
+        return System.currentTimeMillis();
+    }
+
+    /** Starts to listen and to gossip. */
+    public synchronized void start() {
+        Map<String, String> seeds = new HashMap<>();
+        spec.peers().forEach((peer, at) -> {
+            seeds.put(peer, at.getHostString() + ":" + at.getPort());
+            links.put(peer, new PeerLink(identity, peer, at));
+        });
+        swim = new Swim(spec.name(), address().getHostString() + ":" + address().getPort(), seeds, spec.terms(), spec.seed());
+        server.start();
+        thread.start();
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    // ---- Gossip
+    private void run() {
+        long compareNs = System.nanoTime();
+        try {
+            while (!closed) {
+                long now = System.nanoTime();
+                synchronized (this) {
+                    swim.tick(now).forEach(this::send);
+                    if (now >= compareNs) {
+                        compareNs = now + COMPARE_NS;
+                        compare();
+                        saveAgain();
+                        notices.forget(nowMs());
+                        apply(); // what is over is over
+                    }
+                }
+                Thread.sleep(LOOK_NS / MS);
+            }
+        } catch (InterruptedException e) {
+            LOG.debug("{} gossips no more", spec.name());
+        }
+    }
+
+    private void send(Swim.Send s) {
+        link(s.member(), s.address()).send(Codec.swim(s.message(), address().getHostString() + ":" + address().getPort()));
+    }
+
+    /** The way to a peer; one that no setting names is reached where it says that it is. */
+    private PeerLink link(String peer, String address) {
+        return links.computeIfAbsent(peer, p -> {
+            int colon = address.lastIndexOf(':');
+            return new PeerLink(identity, p, new InetSocketAddress(address.substring(0, colon),
+                    Integer.parseInt(address.substring(colon + 1))));
+        });
+    }
+
+    private void compare() {
+        List<String> peers = new ArrayList<>(links.keySet());
+        if (!peers.isEmpty()) {
+            links.get(peers.get(random.nextInt(peers.size()))).send(Codec.digest(notices.digest(), false));
+        }
+    }
+
+    /** Tells a notice at once: to all, also to those that are held for gone, since that may be wrong. */
+    private void spread(List<Held> held, String but) {
+        List<String> peers = new ArrayList<>(links.keySet());
+        peers.remove(but);
+        boolean many = peers.size() > ALL;
+        while (many && peers.size() > SAMPLE) {
+            peers.remove(random.nextInt(peers.size()));
+        }
+        peers.forEach(p -> links.get(p).send(Codec.notices("notices", held)));
+    }
+
+    /** Takes notices: on the disk first, then in force, then carried on. */
+    private synchronized List<Held> take(List<Held> held, String from) {
+        List<Held> fresh = new ArrayList<>();
+        long now = nowMs();
+        for (Held h : held) {
+            if (notices.add(h.notice(), h.leftMs(), now)) {
+                save(h, now);
+                learntMs.put(h.notice(), now);
+                fresh.add(h);
+            }
+        }
+        if (learntMs.size() > 2 * MOST_NOTICES) {
+            learntMs.clear();
+        }
+        if (!fresh.isEmpty()) {
+            apply();
+            spread(fresh, from);
+        }
+        return fresh;
+    }
+
+    /**
+     * A disk that fails is no reason to send fresh work to an engine that drains: the notice is in force, told on, and said not
+     * to be safe from a crash, until the disk takes it.
+     */
+    private void save(Held h, long now) {
+        try {
+            journal.put(h.notice(), h.leftMs(), now);
+        } catch (IOException e) {
+            if (!unsaved) {
+                LOG.error("notices are not kept: a crash would forget what came since: {}", e.toString());
+            }
+            unsaved = true;
+        }
+    }
+
+    private void saveAgain() {
+        if (unsaved) {
+            try {
+                journal.rewrite(nowMs());
+                unsaved = false;
+                LOG.info("notices are kept again");
+            } catch (IOException e) {
+                LOG.debug("notices are still not kept: {}", e.toString());
+            }
+        }
+    }
+
+    private void apply() {
+        Set<String> engines = new HashSet<>();
+        Intent self = Intent.NONE;
+        for (Map.Entry<String, Intent> e : notices.intents(nowMs()).entrySet()) {
+            if (e.getKey().startsWith("engine:")) {
+                engines.add(e.getKey().substring("engine:".length()));
+            } else if (e.getKey().equals(Notice.router(spec.name()))) {
+                self = e.getValue();
+            }
+        }
+        controlled.drained(engines);
+        controlled.refuse(self != Intent.NONE && self != Intent.STOP || self == Intent.STOP && isFresh());
+        if (self == Intent.STOP && isFresh()) {
+            notices.all(nowMs()).forEach(h -> obeyed.add(h.notice()));
+            controlled.stop();
+        }
+    }
+
+    /** A stop is obeyed once: who is started again after it was told to stop stays. */
+    private boolean isFresh() {
+        return notices.all(nowMs()).stream().anyMatch(h -> h.notice().subject().equals(Notice.router(spec.name()))
+                && h.notice().intent() == Intent.STOP && h.leftMs() > 0 && !obeyed.contains(h.notice()));
+    }
+
+    // ---- Frames
+    private JsonNode handle(Peer from, JsonNode frame) throws IOException {
+        String op = Codec.text(frame, "op");
+        switch (op) {
+            case "swim" -> {
+                need(from, Role.ROUTER);
+                synchronized (this) {
+                    swim.receive(from.name(), Codec.text(frame, "address"), Codec.swim(frame), System.nanoTime()).forEach(this::send);
+                }
+                return null;
+            }
+            case "notices" -> {
+                need(from, Role.ROUTER);
+                take(Codec.notices(frame), from.name());
+                return null;
+            }
+            case "digest" -> {
+                need(from, Role.ROUTER);
+                compared(from.name(), frame);
+                return null;
+            }
+            case "put" -> {
+                return put(from, Codec.notices(frame));
+            }
+            case "status" -> {
+                need(from, Role.OBSERVE);
+                return status();
+            }
+            default -> throw new IOException("op " + op + " is unknown; there are status, put, and those of routers");
+        }
+    }
+
+    private static void need(Peer from, Role role) throws IOException {
+        if (!from.roles().contains(role)) {
+            throw new IOException(from.name() + " has no role " + role.word() + ", only " + from.roles());
+        }
+    }
+
+    private synchronized void compared(String peer, JsonNode frame) throws IOException {
+        Map<NoticeSet.Say, Integer> theirs = Codec.digest(frame);
+        List<Held> lacked = notices.lackedBy(theirs, nowMs());
+        PeerLink link = links.get(peer);
+        if (link == null) {
+            return;
+        }
+        for (int i = 0; i < lacked.size(); i += CHUNK) {
+            link.send(Codec.notices("notices", lacked.subList(i, Math.min(lacked.size(), i + CHUNK))));
+        }
+        if (!frame.path("back").asBoolean() && !theirs.equals(notices.digest())) {
+            link.send(Codec.digest(notices.digest(), true));
+        }
+    }
+
+    /** A command: its notices say who issued them, and that is who sent them. */
+    private JsonNode put(Peer from, List<Held> held) throws IOException {
+        for (Held h : held) {
+            need(from, h.notice().intent() == Intent.STOP ? Role.STOP : Role.DRAIN);
+            if (!h.notice().by().equals(from.name())) {
+                throw new IOException("a notice by " + h.notice().by() + " comes from " + from.name());
+            }
+        }
+        List<Held> fresh = take(held, "");
+        for (Held h : held) {
+            AUDIT.atInfo().addKeyValue("by", from.name()).addKeyValue("address", from.address()).addKeyValue("subject",
+                    h.notice().subject()).addKeyValue("intent", h.notice().intent()).addKeyValue("owner", h.notice().owner())
+                    .addKeyValue("revision", h.notice().revision()).addKeyValue("why", h.notice().why())
+                    .addKeyValue("fresh", fresh.contains(h)).log("command");
+        }
+        return Codec.op("known").put("router", spec.name()).put("fresh", fresh.size()).put("durable", isSaved());
+    }
+
+    private synchronized boolean isSaved() {
+        return !unsaved;
+    }
+
+    private synchronized ObjectNode status() {
+        ObjectNode n = Codec.notices("status", notices.all(nowMs())).put("router", spec.name()).put("atMs", nowMs()).put("durable", isSaved())
+                .put("certificateEndsMs", identity.endsMs());
+        for (JsonNode x : n.path("notices")) {
+            learntMs.forEach((notice, at) -> {
+                if (notice.subject().equals(x.path("subject").asText()) && notice.owner().equals(x.path("owner").asText())
+                        && notice.revision() == x.path("revision").asLong()) {
+                    ((ObjectNode) x).put("learntMs", at);
+                }
+            });
+        }
+        ArrayNode members = n.putArray("members");
+        for (Rumor r : swim.members().values()) {
+            members.addObject().put("member", r.member()).put("state", r.state().name()).put("incarnation", r.incarnation());
+        }
+        controlled.status(n);
+        return n;
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        thread.interrupt();
+        server.close();
+        synchronized (this) {
+            links.values().forEach(PeerLink::close);
+            try {
+                journal.close();
+            } catch (IOException e) {
+                LOG.warn("notices: {}", e.toString());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/ashlink/control/node/NoticeJournal.java
@@ -0,0 +1,108 @@
+package ashlink.control.node;
+
+import ashlink.capture.log.Disk;
+import ashlink.capture.log.Segment;
+import ashlink.capture.log.SegmentWriter;
+import ashlink.fleet.notice.Intent;
+import ashlink.fleet.notice.Notice;
+import ashlink.fleet.notice.NoticeSet;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps a router's notices on disk, in the log of captures: a notice is synced before anything is done upon it, so that what a
+ * router has once heard it knows after a crash. Times are kept as of the wall clock of this machine.
+ */
+final class NoticeJournal implements AutoCloseable {
+
+    private static final Logger LOG = LoggerFactory.getLogger(NoticeJournal.class);
+    private static final long SEGMENT_BYTES = 4L << 20;
+    private static final int SLACK = 1_000;
+
+    private final Disk disk;
+    private final NoticeSet set;
+    private SegmentWriter log;
+    private long boot;
+    private long written;
+
+    /** Reads what the disk has into the set, and goes on from there. */
+    NoticeJournal(Disk disk, NoticeSet set, long nowMs) throws IOException {
+        this.disk = disk;
+        this.set = set;
+        this.boot = nowMs;
+        for (String name : disk.list()) {
+            if (name.endsWith(".seg")) {
+                Segment.Contents c = Segment.read(disk.read(name));
+                if (c.state() == Segment.State.DAMAGED) {
+                    LOG.error("the notices are damaged in {}: {}; what followed comes from other routers", name, c.why());
+                }
+                boot = Math.max(boot, c.boot() + 1);
+                for (byte[] frame : c.frames()) {
+                    read(new DataInputStream(new ByteArrayInputStream(frame)), nowMs);
+                }
+            }
+        }
+        rewrite(nowMs);
+    }
+
+    private void read(DataInputStream in, long nowMs) throws IOException {
+        Notice n = new Notice(in.readUTF(), in.readUTF(), in.readLong(), Intent.values()[in.readByte()], in.readUTF(), in.readUTF());
+        set.add(n, in.readLong() - nowMs, nowMs);
+    }
+
+    private static byte[] record(Notice n, long untilMs) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream out = new DataOutputStream(bytes);
+        out.writeUTF(n.subject());
+        out.writeUTF(n.owner());
+        out.writeLong(n.revision());
+        out.writeByte(n.intent().ordinal());
+        out.writeUTF(n.by());
+        out.writeUTF(n.why());
+        out.writeLong(untilMs);
+        return bytes.toByteArray();
+    }
+
+    /** Keeps a notice; returns once it is on the disk. */
+    void put(Notice n, long leftMs, long nowMs) throws IOException {
+        if (written > SLACK + 4L * set.size()) {
+            rewrite(nowMs);
+        }
+        byte[] record = record(n, nowMs + leftMs);
+        log.append(record, record.length, written++);
+        log.sync();
+    }
+
+    /** Writes the set anew; what was written before goes once that is on the disk. */
+    void rewrite(long nowMs) throws IOException {
+        List<String> before = new ArrayList<>(disk.list());
+        if (log != null) {
+            log.close();
+        }
+        log = new SegmentWriter(disk, boot++, SEGMENT_BYTES, Long.MAX_VALUE);
+        written = 0;
+        for (NoticeSet.Held h : set.all(nowMs)) {
+            byte[] record = record(h.notice(), nowMs + h.leftMs());
+            log.append(record, record.length, written++);
+        }
+        log.sync();
+        for (String name : before) {
+            if (name.endsWith(".seg")) {
+                disk.delete(name);
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        log.close();
+        disk.close();
+    }
+}
--- /dev/null
+++ b/control/src/main/java/ashlink/control/node/PeerLink.java
@@ -0,0 +1,81 @@
+package ashlink.control.node;
+
+import ashlink.control.channel.ControlClient;
+import ashlink.control.tls.Identity;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The way to another router: a connection when there is something to say, and a bounded queue whose oldest goes first. */
+final class PeerLink {
+
+    private static final Logger LOG = LoggerFactory.getLogger(PeerLink.class);
+    private static final int QUEUE = 64;
+    private static final int CONNECT_MS = 1_000;
+    private static final long REST_MS = 200;
+    private static final long STACK_BYTES = 256 << 10;
+
+    private final Identity identity;
+    private final InetSocketAddress address;
+    private final String peer;
+    private final ArrayBlockingQueue<JsonNode> queue = new ArrayBlockingQueue<>(QUEUE);
+    private final Thread thread;
+    private volatile boolean closed;
+    private volatile ControlClient client;
+
+    PeerLink(Identity identity, String peer, InetSocketAddress address) {
+        this.identity = identity;
+        this.peer = peer;
+        this.address = address;
+        this.thread = new Thread(null, this::run, identity.name() + "-to-" + peer, STACK_BYTES);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    void send(JsonNode frame) {
+        while (!queue.offer(frame)) {
+            queue.poll();
+        }
+    }
+
+    private void run() {
+        try {
+            while (!closed) {
+                JsonNode frame = queue.take();
+                try {
+                    if (client == null) {
+                        client = new ControlClient(identity, address, peer, CONNECT_MS);
+                    }
+                    client.send(frame);
+                } catch (IOException e) {
+                    LOG.debug("{} is not reached: {}", peer, e.toString());
+                    drop();
+                    TimeUnit.MILLISECONDS.sleep(REST_MS);
+                }
+            }
+        } catch (InterruptedException e) {
+            drop();
+        }
+    }
+
+    private void drop() {
+        ControlClient c = client;
+        client = null;
+        if (c != null) {
+            c.close();
+        }
+    }
+
+    void close() {
+        closed = true;
+        thread.interrupt();
+        ControlClient c = client;
+        if (c != null) {
+            c.close();
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/ashlink/control/tls/Pem.java
@@ -0,0 +1,37 @@
+package ashlink.control.tls;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.GeneralSecurityException;
+import java.security.KeyFactory;
+import java.security.PrivateKey;
+import java.security.cert.CertificateFactory;
+import java.security.cert.X509Certificate;
+import java.security.spec.PKCS8EncodedKeySpec;
+import java.util.Base64;
+import java.util.List;
+
+/** Reads keys and certificates as text. */
+public final class Pem {
+
+    private Pem() { }
+
+    /** All certificates of a file. */
+    public static List<X509Certificate> certificates(Path file) throws IOException, GeneralSecurityException {
+        try (InputStream in = Files.newInputStream(file)) {
+            return CertificateFactory.getInstance("X.509").generateCertificates(in).stream().map(c -> (X509Certificate) c).toList();
+        }
+    }
+
+    /** The private key of a file. */
+    public static PrivateKey key(Path file) throws IOException, GeneralSecurityException {
+        String text = Files.readString(file).replaceAll("-----[A-Z ]+-----", "").replaceAll("\\s", "");
+        try {
+            return KeyFactory.getInstance("EC").generatePrivate(new PKCS8EncodedKeySpec(Base64.getDecoder().decode(text)));
+        } catch (IllegalArgumentException e) {
+            throw new GeneralSecurityException(file + " is no private key", e);
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/ashlink/control/tool/FleetTool.java
@@ -0,0 +1,145 @@
+package ashlink.control.tool;
+
+import ashlink.control.channel.ControlClient;
+import ashlink.control.node.Codec;
+import ashlink.control.tls.Identity;
+import ashlink.fleet.notice.Intent;
+import ashlink.fleet.notice.Notice;
+import ashlink.fleet.notice.NoticeSet.Held;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+/** Asks and tells many routers at once, so many in parallel; each has its own result. */
+public final class FleetTool implements AutoCloseable {
+
+    private static final long POLL_MS = 50;
+
+    /** What came of one router; {@code answer} null where it was not reached, for the reason in {@code error}. */
+    public record Result(String router, JsonNode answer, String error) {
+
+        /** True if it answered. */
+        public boolean isReached() {
+            return answer != null;
+        }
+    }
+
+    private final Identity identity;
+    private final Map<String, InetSocketAddress> routers;
+    private final int timeoutMs;
+    private final ExecutorService pool;
+
+    /** A tool for those routers, by name; each has so long to answer. */
+    public FleetTool(Identity identity, Map<String, InetSocketAddress> routers, int atOnce, int timeoutMs) {
+        this.identity = identity;
+        this.routers = new LinkedHashMap<>(routers);
+        this.timeoutMs = timeoutMs;
+        this.pool = Executors.newFixedThreadPool(Math.max(1, Math.min(atOnce, routers.size())), r -> {
+            Thread t = new Thread(r, "fleet-tool");
+            t.setDaemon(true);
+            return t;
+        });
+    }
+
+    /** Puts a frame to all routers. */
+    public Map<String, Result> ask(JsonNode frame) throws InterruptedException {
+        Map<String, Future<Result>> asked = new LinkedHashMap<>();
+        routers.forEach((name, at) -> asked.put(name, pool.submit(() -> ask(name, at, frame))));
+        Map<String, Result> results = new LinkedHashMap<>();
+        for (Map.Entry<String, Future<Result>> e : asked.entrySet()) {
+            try {
+                results.put(e.getKey(), e.getValue().get());
+            } catch (ExecutionException x) {
+                results.put(e.getKey(), new Result(e.getKey(), null, String.valueOf(x.getCause())));
+            }
+        }
+        return results;
+    }
+
+    private Result ask(String name, InetSocketAddress at, JsonNode frame) {
+        try (ControlClient c = new ControlClient(identity, at, name, timeoutMs)) {
+            return new Result(name, c.ask(frame), "");
+        } catch (IOException e) {
+            return new Result(name, null, String.valueOf(e.getMessage()));
+        }
+    }
+
+    /** The state of all routers. */
+    public Map<String, Result> status() throws InterruptedException {
+        return ask(Codec.op("status"));
+    }
+
+    /** The notice that follows on all that the reached routers know of this say. */
+    public Notice next(String subject, String owner, Intent intent, String why, Map<String, Result> known) throws IOException {
+        long revision = 0;
+        for (Result r : known.values()) {
+            if (r.isReached()) {
+                for (Held h : Codec.notices(r.answer())) {
+                    if (h.notice().subject().equals(subject) && h.notice().owner().equals(owner)) {
+                        revision = Math.max(revision, h.notice().revision());
+                    }
+                }
+            }
+        }
+        return new Notice(subject, owner, revision + 1, intent, identity.name(), why);
+    }
+
+    /** Owners who want something of a subject, as the reached routers know it. */
+    public static List<String> owners(String subject, Map<String, Result> known) throws IOException {
+        List<String> owners = new ArrayList<>();
+        for (Result r : known.values()) {
+            if (r.isReached()) {
+                for (Held h : Codec.notices(r.answer())) {
+                    if (h.notice().subject().equals(subject) && h.leftMs() > 0 && h.notice().intent() != Intent.NONE
+                            && !owners.contains(h.notice().owner())) {
+                        owners.add(h.notice().owner());
+                    }
+                }
+            }
+        }
+        return owners;
+    }
+
+    /** Tells all routers of a notice. */
+    public Map<String, Result> put(Notice n, long leftMs) throws InterruptedException {
+        return ask(Codec.notices("put", List.of(new Held(n, leftMs))));
+    }
+
+    /** True if a router's state has that notice, or a newer one of the same say. */
+    public static boolean knows(Result r, Notice n) {
+        try {
+            return r.isReached() && Codec.notices(r.answer()).stream().anyMatch(h -> h.notice().subject().equals(n.subject())
+                    && h.notice().owner().equals(n.owner()) && h.notice().compareTo(n) >= 0);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Asks for states until that share of all routers is as wanted, or the time is up; returns the last states. */
+    public Map<String, Result> await(double share, long timeoutNs, Predicate<Result> wanted) throws InterruptedException {
+        long until = System.nanoTime() + timeoutNs;
+        while (true) {
+            Map<String, Result> now = status();
+            long good = now.values().stream().filter(wanted).count();
+            if (good >= Math.ceil(share * routers.size()) || System.nanoTime() > until) {
+                return now;
+            }
+            TimeUnit.MILLISECONDS.sleep(POLL_MS);
+        }
+    }
+
+    @Override
+    public void close() {
+        pool.shutdownNow();
+    }
+}
--- /dev/null
+++ b/control/src/test/java/ashlink/control/ControlTest.java
@@ -0,0 +1,397 @@
+package ashlink.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ashlink.capture.log.Disk;
+import ashlink.capture.log.FaultyDisk;
+import ashlink.capture.log.FolderDisk;
+import ashlink.control.channel.ControlClient;
+import ashlink.control.node.Codec;
+import ashlink.control.node.Controlled;
+import ashlink.control.node.Node;
+import ashlink.control.tls.Authority;
+import ashlink.control.tls.Identity;
+import ashlink.control.tls.Role;
+import ashlink.control.tool.FleetTool;
+import ashlink.control.tool.FleetTool.Result;
+import ashlink.fleet.member.Terms;
+import ashlink.fleet.notice.Intent;
+import ashlink.fleet.notice.Notice;
+import ashlink.fleet.notice.NoticeSet.Held;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import javax.net.ssl.SSLSocket;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Nodes on real sockets: notices that reach some, and then all. */
+class ControlTest {
+
+    private static final Duration DAY = Duration.ofDays(1);
+    private static final long HOUR_MS = 3_600_000L;
+
+    @TempDir
+    Path dir;
+    private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
+    private final Map<String, Node> nodes = new HashMap<>();
+    private final Map<String, Fake> routers = new HashMap<>();
+    private Authority authority;
+
+    /** A router that only notes what it is told. */
+    private static final class Fake implements Controlled {
+        volatile Set<String> drained = Set.of();
+        volatile boolean refuses;
+        volatile boolean stopped;
+
+        @Override
+        public void drained(Set<String> engines) {
+            drained = engines;
+        }
+
+        @Override
+        public void refuse(boolean refuse) {
+            refuses = refuse;
+        }
+
+        @Override
+        public void stop() {
+            stopped = true;
+        }
+
+        @Override
+        public void status(ObjectNode to) {
+            to.put("open", 0);
+        }
+    }
+
+    @BeforeEach
+    void keys() throws Exception {
+        authority = new Authority(dir.resolve("keys"));
+        authority.renew(DAY);
+        authority.issue("ann", Set.of(Role.OBSERVE, Role.DRAIN, Role.STOP), DAY);
+        authority.issue("ben", Set.of(Role.OBSERVE, Role.DRAIN), DAY);
+        authority.issue("eve", Set.of(Role.OBSERVE), DAY);
+    }
+
+    @AfterEach
+    void end() {
+        nodes.values().forEach(Node::close);
+    }
+
+    private void fleet(int count) throws Exception {
+        List<ServerSocket> free = new ArrayList<>();
+        for (int i = 1; i <= count; i++) {
+            ServerSocket s = new ServerSocket(0);
+            free.add(s);
+            addresses.put("r" + i, new InetSocketAddress("127.0.0.1", s.getLocalPort()));
+            authority.issue("r" + i, Set.of(Role.ROUTER), DAY);
+        }
+        for (ServerSocket s : free) {
+            s.close();
+        }
+        for (String r : addresses.keySet()) {
+            start(r);
+        }
+    }
+
+    private void start(String r) throws Exception {
+        start(r, FolderDisk.writing(dir.resolve(r)));
+    }
+
+    private void start(String r, Disk disk) throws Exception {
+        Map<String, InetSocketAddress> peers = new HashMap<>(addresses);
+        peers.remove(r);
+        Fake router = new Fake();
+        Node n = new Node(new Node.Spec(r, addresses.get(r), dir.resolve(r), peers, Terms.DEFAULT, r.hashCode()),
+                new Identity(dir.resolve("keys"), r), router, disk);
+        routers.put(r, router);
+        nodes.put(r, n);
+        n.start();
+    }
+
+    private void kill(String r) {
+        nodes.remove(r).close();
+    }
+
+    private FleetTool tool(String operator, String... reached) throws Exception {
+        Map<String, InetSocketAddress> of = new LinkedHashMap<>();
+        for (String r : reached.length == 0 ? addresses.keySet().toArray(new String[0]) : reached) {
+            of.put(r, addresses.get(r));
+        }
+        return new FleetTool(new Identity(dir.resolve("keys"), operator), of, 8, 2_000);
+    }
+
+    private Notice tell(String operator, Intent intent, String... reached) throws Exception {
+        try (FleetTool t = tool(operator, reached)) {
+            Notice n = t.next("engine:q1", operator, intent, "test", t.status());
+            t.put(n, HOUR_MS);
+            return n;
+        }
+    }
+
+    private static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long until = System.nanoTime() + 20_000_000_000L;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > until) {
+                throw new AssertionError("waited in vain for: " + what);
+            }
+            Thread.sleep(5);
+        }
+    }
+
+    private boolean all(boolean drained) {
+        return nodes.keySet().stream().allMatch(r -> routers.get(r).drained.contains("q1") == drained);
+    }
+
+    // ---- Drains
+    @Test
+    void aDrainThatReachesHalfReachesAllAlsoThoughOneThatKnewItDies() throws Exception {
+        fleet(6);
+        tell("ann", Intent.DRAIN, "r1", "r2", "r3");
+        kill("r1");
+        await("all know it", () -> all(true));
+        start("r1");
+        assertTrue(routers.get("r1").drained.contains("q1"), "before its first query, from its own disk");
+        tell("ann", Intent.NONE, "r6");
+        await("all know that it is over", () -> all(false));
+    }
+
+    @Test
+    void oneThatWasDownWhileAllHeardOfItIsToldWhenItIsBack() throws Exception {
+        fleet(3);
+        kill("r3");
+        tell("ann", Intent.DRAIN, "r1", "r2");
+        start("r3");
+        await("it is told", () -> all(true));
+    }
+
+    @Test
+    void aToolThatIsRunAgainAndTwoOperatorsDoNotUndoEachOther() throws Exception {
+        fleet(3);
+        Notice first = tell("ann", Intent.DRAIN);
+        Notice again = tell("ann", Intent.DRAIN);
+        assertEquals(first.revision() + 1, again.revision());
+        tell("ben", Intent.DRAIN, "r2");
+        await("all know both", () -> {
+            try (FleetTool t = tool("ann")) {
+                return t.status().values().stream().allMatch(r -> {
+                    try {
+                        return FleetTool.owners("engine:q1", Map.of("r", r)).equals(List.of("ann", "ben"));
+                    } catch (IOException e) {
+                        return false;
+                    }
+                });
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        tell("ann", Intent.NONE);
+        Thread.sleep(300);
+        assertTrue(all(true), "ben still wants it");
+        try (FleetTool t = tool("ann")) {
+            t.put(t.next("engine:q1", "ben", Intent.NONE, "overruled", t.status()), HOUR_MS);
+        }
+        await("nobody wants it", () -> all(false));
+    }
+
+    @Test
+    void aReplayedNoticeAndDataFromABackupUndoNothing() throws Exception {
+        fleet(3);
+        Notice drain = tell("ann", Intent.DRAIN);
+        await("all know it", () -> all(true));
+        kill("r3");
+        copy(dir.resolve("r3"), dir.resolve("backup"));
+        tell("ann", Intent.NONE, "r1", "r2");
+        await("the others know that it is over", () -> all(false));
+        try (FleetTool t = tool("ann", "r1")) {
+            t.put(drain, HOUR_MS);
+        }
+        delete(dir.resolve("r3"));
+        copy(dir.resolve("backup"), dir.resolve("r3"));
+        start("r3");
+        assertTrue(routers.get("r3").drained.contains("q1"), "it cannot know better yet");
+        await("it learns that it is over", () -> all(false));
+        Thread.sleep(1_500);
+        assertTrue(all(false), "and nobody believes the old again");
+    }
+
+    private static void copy(Path from, Path to) throws IOException {
+        Files.createDirectories(to);
+        try (Stream<Path> files = Files.list(from)) {
+            for (Path f : files.toList()) {
+                Files.copy(f, to.resolve(f.getFileName()), StandardCopyOption.REPLACE_EXISTING);
+            }
+        }
+    }
+
+    private static void delete(Path folder) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path f : files.toList()) {
+                Files.delete(f);
+            }
+        }
+        Files.delete(folder);
+    }
+
+    @Test
+    void aRouterIsDrainedAndStoppedOnce() throws Exception {
+        fleet(2);
+        try (FleetTool t = tool("ann")) {
+            t.put(t.next("router:r2", "ann", Intent.DRAIN, "", t.status()), HOUR_MS);
+            await("it refuses", () -> routers.get("r2").refuses && !routers.get("r1").refuses);
+            t.put(t.next("router:r2", "ann", Intent.STOP, "", t.status()), HOUR_MS);
+            await("it stops", () -> routers.get("r2").stopped);
+            kill("r2");
+            start("r2");
+            Thread.sleep(1_500);
+            assertFalse(routers.get("r2").stopped || routers.get("r2").refuses, "who is started again stays");
+        }
+    }
+
+    // ---- Who may what
+    @Test
+    void onlyThoseOfTheFleetAreHeardAndEachInItsRole() throws Exception {
+        fleet(1);
+        try (FleetTool t = tool("eve")) {
+            assertTrue(t.status().get("r1").isReached());
+            Result r = t.put(new Notice("engine:q1", "eve", 1, Intent.DRAIN, "eve", ""), HOUR_MS).get("r1");
+            assertTrue(r.error().contains("no role drain"), r.error());
+        }
+        try (FleetTool t = tool("ben")) {
+            Result r = t.put(new Notice("router:r1", "ben", 1, Intent.STOP, "ben", ""), HOUR_MS).get("r1");
+            assertTrue(r.error().contains("no role stop"), r.error());
+            r = t.put(new Notice("engine:q1", "ann", 1, Intent.DRAIN, "ann", ""), HOUR_MS).get("r1");
+            assertTrue(r.error().contains("by ann comes from ben"), r.error());
+        }
+        Authority foreign = new Authority(dir.resolve("foreign"));
+        foreign.renew(DAY);
+        foreign.issue("ann", Set.of(Role.OBSERVE, Role.DRAIN), DAY);
+        Files.copy(dir.resolve("keys/ca.crt"), dir.resolve("foreign/ca.crt"), StandardCopyOption.REPLACE_EXISTING);
+        Identity stranger = new Identity(dir.resolve("foreign"), "ann");
+        assertThrows(IOException.class, () -> {
+            try (ControlClient c = new ControlClient(stranger, addresses.get("r1"), "r1", 2_000)) {
+                c.ask(Codec.op("status"));
+            }
+        });
+        authority.issue("old", Set.of(Role.OBSERVE), Duration.ofMinutes(-10));
+        Identity expired = new Identity(dir.resolve("keys"), "old");
+        assertThrows(IOException.class, () -> {
+            try (ControlClient c = new ControlClient(expired, addresses.get("r1"), "r1", 2_000)) {
+                c.ask(Codec.op("status"));
+            }
+        });
+        assertTrue(routers.get("r1").drained.isEmpty());
+    }
+
+    @Test
+    void whileAuthoritiesChangeBothAreTrusted() throws Exception {
+        fleet(1);
+        Files.createDirectories(dir.resolve("before"));
+        copy(dir.resolve("keys"), dir.resolve("before"));
+        authority.renew(DAY);
+        authority.issue("r2", Set.of(Role.ROUTER), DAY);
+        authority.issue("ann", Set.of(Role.OBSERVE), DAY);
+        kill("r1");
+        start("r1"); // shows its old certificate, and trusts both authorities
+        try (ControlClient c = new ControlClient(new Identity(dir.resolve("keys"), "ann"), addresses.get("r1"), "r1", 2_000)) {
+            assertEquals("r1", c.ask(Codec.op("status")).get("router").asText(), "a new operator");
+        }
+        try (ControlClient c = new ControlClient(new Identity(dir.resolve("before"), "eve"), addresses.get("r1"), "r1", 2_000)) {
+            assertEquals("r1", c.ask(Codec.op("status")).get("router").asText(), "an old one");
+        }
+        authority.retire();
+        authority.issue("r1", Set.of(Role.ROUTER), DAY);
+        kill("r1");
+        start("r1");
+        assertThrows(IOException.class, () -> {
+            try (ControlClient c = new ControlClient(new Identity(dir.resolve("before"), "eve"), addresses.get("r1"), "r1", 2_000)) {
+                c.ask(Codec.op("status"));
+            }
+        }, "the old authority is not trusted any more");
+    }
+
+    @Test
+    void garbageLongFramesAndFloodsEndOnlyTheirOwnConnection() throws Exception {
+        fleet(2);
+        try (Socket plain = new Socket("127.0.0.1", addresses.get("r1").getPort())) {
+            plain.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".getBytes());
+            plain.setSoTimeout(10_000);
+            while (plain.getInputStream().read() >= 0) {
+                // an alert, then the end
+            }
+        }
+        Identity ann = new Identity(dir.resolve("keys"), "ann");
+        for (byte[] bytes : new byte[][] {{0x7f, 0, 0, 0}, {0, 0, 0, 2, '[', ']'}, {0, 0, 0, 3, '{', '{', '{'}, {-1, -1, -1, -1}}) {
+            try (SSLSocket s = (SSLSocket) ann.context().getSocketFactory().createSocket("127.0.0.1", addresses.get("r1").getPort())) {
+                s.setSoTimeout(10_000);
+                OutputStream out = s.getOutputStream();
+                out.write(bytes);
+                out.flush();
+                assertEquals(-1, s.getInputStream().read(), "closed");
+            }
+        }
+        List<Thread> flood = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            Thread t = new Thread(() -> {
+                try (ControlClient c = new ControlClient(ann, addresses.get("r1"), "r1", 5_000)) {
+                    for (int n = 0; n < 2_000; n++) {
+                        c.send(Codec.op("nonsense"));
+                    }
+                } catch (IOException e) {
+                    // cut off
+                }
+            });
+            t.start();
+            flood.add(t);
+        }
+        tell("ben", Intent.DRAIN, "r1");
+        await("a command comes through", () -> all(true));
+        for (Thread t : flood) {
+            t.interrupt();
+        }
+    }
+
+    @Test
+    void aDrainIsInForceThoughTheDiskIsFullAndKeptOnceItIsNot() throws Exception {
+        fleet(2);
+        kill("r1");
+        FaultyDisk disk = new FaultyDisk();
+        start("r1", disk);
+        disk.full(true);
+        Notice n = new Notice("engine:q1", "ann", 1, Intent.DRAIN, "ann", "");
+        try (FleetTool t = tool("ann", "r1")) {
+            JsonNode known = t.put(n, HOUR_MS).get("r1").answer();
+            assertFalse(known.get("durable").asBoolean(), "and the operator is told that it is not safe");
+            await("both drain", () -> all(true));
+            disk.full(false);
+            Map<String, Result> later = t.await(1, 20_000_000_000L, r -> r.isReached() && r.answer().get("durable").asBoolean());
+            assertTrue(later.get("r1").answer().get("durable").asBoolean());
+        }
+        kill("r2"); // so that nobody else tells it
+        kill("r1");
+        start("r1", disk);
+        assertTrue(routers.get("r1").drained.contains("q1"));
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/ashlink/fleet/notice/Notice.java
@@ -0,0 +1,52 @@
+package ashlink.fleet.notice;
+
+import java.util.Comparator;
+
+/**
+ * What one operator wants of one subject. Each owner has a say of its own on each subject; of an owner's notices on a subject
+ * the one of the highest revision holds. A revision is one more than the highest that its issuer knew of: it is no time, so
+ * clocks may be apart. Two of the same revision were issued on different sides of a cut: then the stronger intent holds, on
+ * every router the same.
+ *
+ * @param subject {@code engine:NAME} or {@code router:NAME}
+ * @param owner whose say it is
+ * @param by who issued it: the owner, or who overruled it
+ * @param why for people
+ */
+public record Notice(String subject, String owner, long revision, Intent intent, String by, String why)
+        implements Comparable<Notice> {
+
+    /** Longest text of any part. */
+    public static final int MOST_CHARS = 256;
+
+    private static final Comparator<Notice> ORDER = Comparator.comparingLong(Notice::revision).thenComparing(Notice::intent)
+            .thenComparing(Notice::by).thenComparing(Notice::why);
+
+    /** Checks the form. */
+    public Notice {
+        if (!subject.matches("(engine|router):.+") || owner.isEmpty() || revision < 1) {
+            throw new IllegalArgumentException("a notice on " + subject + " of " + owner + ", revision " + revision);
+        }
+        for (String text : new String[] {subject, owner, by, why}) {
+            if (text.length() > MOST_CHARS) {
+                throw new IllegalArgumentException("a notice with " + text.length() + " characters in one part");
+            }
+        }
+    }
+
+    /** The subject that is an engine. */
+    public static String engine(String name) {
+        return "engine:" + name;
+    }
+
+    /** The subject that is a router. */
+    public static String router(String name) {
+        return "router:" + name;
+    }
+
+    /** Which of two notices of the same owner and subject holds: the greater. */
+    @Override
+    public int compareTo(Notice other) {
+        return ORDER.compare(this, other);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/ashlink/fleet/notice/NoticeSet.java
@@ -0,0 +1,142 @@
+package ashlink.fleet.notice;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * The notices that a router knows. Adding is commutative, associative and idempotent: the same notices in any order, any
+ * number of times, give the same set. So what reaches a router late, twice, or from a backup never undoes what is newer.
+ *
+ * <p>A notice ends by its time; it is remembered beyond that, so that an older one does not come to life again. Times are of
+ * the router's own clock, in milliseconds: what travels is how long a notice still has, not when it ends.
+ */
+public final class NoticeSet {
+
+    /** A notice and how long it still holds, in milliseconds; 0 or less is over. */
+    public record Held(Notice notice, long leftMs) { }
+
+    /** Names a say: that of an owner on a subject. */
+    public record Say(String subject, String owner) implements Comparable<Say> {
+        @Override
+        public int compareTo(Say o) {
+            int c = subject.compareTo(o.subject);
+            return c != 0 ? c : owner.compareTo(o.owner);
+        }
+    }
+
+    private record Entry(Notice notice, long untilMs) { }
+
+    private final int most;
+    private final long longestMs;
+    private final long rememberedMs;
+    private final Map<Say, Entry> entries = new TreeMap<>();
+
+    /**
+     * An empty set.
+     *
+     * @param most says that are known at most; a new one past it is not taken
+     * @param longestMs longest time that a notice may hold
+     * @param rememberedMs time for which one that is over is remembered; at least {@code longestMs}, so that whoever still
+     *     has an older one has it no longer than the newer is remembered
+     */
+    public NoticeSet(int most, long longestMs, long rememberedMs) {
+        if (rememberedMs < longestMs) {
+            throw new IllegalArgumentException("remembered for " + rememberedMs + " ms, less than the longest of " + longestMs);
+        }
+        this.most = most;
+        this.longestMs = longestMs;
+        this.rememberedMs = rememberedMs;
+    }
+
+    private static Say say(Notice n) {
+        return new Say(n.subject(), n.owner());
+    }
+
+    /** Adds a notice that still holds for that long; true if anything is otherwise than before. */
+    public boolean add(Notice n, long leftMs, long nowMs) {
+        long until = nowMs + Math.min(leftMs, longestMs);
+        Entry held = entries.get(say(n));
+        if (held == null && entries.size() >= most) {
+            forget(nowMs);
+            if (entries.size() >= most) {
+                return false;
+            }
+        }
+        int newer = held == null ? 1 : n.compareTo(held.notice);
+        if (newer < 0 || newer == 0 && until <= held.untilMs) {
+            return false;
+        }
+        entries.put(say(n), new Entry(n, until));
+        return newer > 0;
+    }
+
+    /** What holds of a subject: the strongest of what its owners want. */
+    public Intent intent(String subject, long nowMs) {
+        Intent strongest = Intent.NONE;
+        for (Entry e : entries.values()) {
+            if (e.notice.subject().equals(subject) && e.untilMs > nowMs && e.notice.intent().compareTo(strongest) > 0) {
+                strongest = e.notice.intent();
+            }
+        }
+        return strongest;
+    }
+
+    /** All subjects of which something holds, with what. */
+    public Map<String, Intent> intents(long nowMs) {
+        Map<String, Intent> all = new TreeMap<>();
+        for (Entry e : entries.values()) {
+            if (e.untilMs > nowMs && e.notice.intent() != Intent.NONE) {
+                all.merge(e.notice.subject(), e.notice.intent(), (a, b) -> a.compareTo(b) > 0 ? a : b);
+            }
+        }
+        return all;
+    }
+
+    /** The next revision for a say: more than any that is known of it. */
+    public long nextRevision(String subject, String owner) {
+        Entry e = entries.get(new Say(subject, owner));
+        return e == null ? 1 : e.notice.revision() + 1;
+    }
+
+    /** Owners who want something of a subject now. */
+    public List<String> owners(String subject, long nowMs) {
+        return entries.values().stream().filter(e -> e.notice.subject().equals(subject) && e.untilMs > nowMs
+                && e.notice.intent() != Intent.NONE).map(e -> e.notice.owner()).toList();
+    }
+
+    /** All notices, also those that are over and remembered. */
+    public List<Held> all(long nowMs) {
+        return entries.values().stream().map(e -> new Held(e.notice, e.untilMs - nowMs)).toList();
+    }
+
+    /** What the holder of that digest lacks. */
+    public List<Held> lackedBy(Map<Say, Integer> digest, long nowMs) {
+        List<Held> lacked = new ArrayList<>();
+        entries.forEach((say, e) -> {
+            Integer theirs = digest.get(say);
+            if (theirs == null || theirs != e.notice.hashCode()) {
+                lacked.add(new Held(e.notice, e.untilMs - nowMs));
+            }
+        });
+        return lacked;
+    }
+
+    /** Says with a hash of what is known of each, for who compares. */
+    public Map<Say, Integer> digest() {
+        Map<Say, Integer> digest = new TreeMap<>();
+        entries.forEach((say, e) -> digest.put(say, e.notice.hashCode()));
+        return digest;
+    }
+
+    /** Forgets what has been over for long enough. */
+    public void forget(long nowMs) {
+        entries.values().removeIf(e -> nowMs - e.untilMs > rememberedMs);
+    }
+
+    /** Says that are known. */
+    public int size() {
+        return entries.size();
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/ashlink/fleet/member/FleetSim.java
@@ -0,0 +1,120 @@
+package ashlink.fleet.member;
+
+import ashlink.fleet.member.Rumor.State;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BiPredicate;
+
+/** Many members in simulated time: messages that take their time, get lost, or do not pass. From a seed. */
+final class FleetSim {
+
+    static final long MS = 1_000_000L;
+    static final long S = 1_000 * MS;
+
+    private record Event(long atNs, long number, Runnable what) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event o) {
+            return atNs != o.atNs ? Long.compare(atNs, o.atNs) : Long.compare(number, o.number);
+        }
+    }
+
+    final Map<String, Swim> members = new HashMap<>();
+    final Set<String> dead = new HashSet<>();
+    final Set<String> paused = new HashSet<>();
+    final Map<String, Long> pausedSince = new HashMap<>();
+    final PriorityQueue<Event> events = new PriorityQueue<>();
+    final SplittableRandom random;
+    final double loss;
+    BiPredicate<String, String> passes = (from, to) -> true;
+    long now = 1_000 * S;
+    long numbers;
+    long messages;
+    int mostRumors;
+
+    FleetSim(int count, double loss, long seed) {
+        this.random = new SplittableRandom(seed);
+        this.loss = loss;
+        Map<String, String> seeds = new HashMap<>();
+        for (int i = 0; i < count; i++) {
+            seeds.put(name(i), "at-" + name(i));
+        }
+        for (int i = 0; i < count; i++) {
+            String n = name(i);
+            members.put(n, new Swim(n, "at-" + n, seeds, Terms.DEFAULT, seed * 10_007 + i));
+            at(random.nextLong(250 * MS), () -> tick(n));
+        }
+    }
+
+    static String name(int i) {
+        return String.format("r%04d", i);
+    }
+
+    void at(long in, Runnable what) {
+        events.add(new Event(now + in, numbers++, what));
+    }
+
+    private void tick(String n) {
+        if (dead.contains(n)) {
+            return;
+        }
+        if (!paused.contains(n)) {
+            members.get(n).tick(now).forEach(s -> send(n, s));
+        }
+        at(Math.max(MS, Math.min(50 * MS, members.get(n).nextNs() - now)), () -> tick(n));
+    }
+
+    private void send(String from, Swim.Send s) {
+        messages++;
+        mostRumors = Math.max(mostRumors, s.message().rumors().size());
+        if (random.nextDouble() < loss || !passes.test(from, s.member())) {
+            return;
+        }
+        at(MS + random.nextLong(9 * MS), () -> deliver(from, s));
+    }
+
+    private void deliver(String from, Swim.Send s) {
+        if (dead.contains(s.member())) {
+            return;
+        }
+        if (paused.contains(s.member())) {
+            at(50 * MS, () -> deliver(from, s)); // in its socket until it goes on
+            return;
+        }
+        members.get(s.member()).receive(from, "at-" + from, s.message(), now).forEach(x -> send(s.member(), x));
+    }
+
+    void until(long end) {
+        while (!events.isEmpty() && events.peek().atNs <= end) {
+            Event e = events.poll();
+            now = e.atNs;
+            e.what.run();
+        }
+        now = end;
+    }
+
+    void run(long forNs) {
+        until(now + forNs);
+    }
+
+    /** Members alive that hold that one for this state. */
+    long holding(String of, State state) {
+        return members.entrySet().stream().filter(e -> !e.getKey().equals(of) && !dead.contains(e.getKey())
+                && e.getValue().members().get(of).state() == state).count();
+    }
+
+    /** Pairs of members alive of which the first holds the second for gone. */
+    long wronglyGone() {
+        long wrong = 0;
+        for (Map.Entry<String, Swim> e : members.entrySet()) {
+            if (!dead.contains(e.getKey())) {
+                wrong += e.getValue().members().values().stream().filter(r -> r.state() == State.GONE
+                        && !dead.contains(r.member())).count();
+            }
+        }
+        return wrong;
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/ashlink/fleet/member/SwimRun.java
@@ -0,0 +1,38 @@
+package ashlink.fleet.member;
+
+import ashlink.fleet.member.Rumor.State;
+import org.junit.jupiter.api.Test;
+
+/** 1,000 routers in simulated time; not part of CI: {@code mvn -pl fleet -am test -Dtest=SwimRun -Dsurefire.failIfNoSpecifiedTests=false}. */
+class SwimRun {
+
+    private static final long S = FleetSim.S;
+
+    @Test
+    void aThousand() {
+        int n = 1_000;
+        for (double loss : new double[] {0.01, 0.05, 0.2}) {
+            FleetSim sim = new FleetSim(n, loss, 1);
+            sim.run(10 * S);
+            long messages = sim.messages;
+            sim.run(20 * S);
+            double each = (sim.messages - messages) / 20.0 / n;
+            long alarms = sim.members.values().stream().mapToLong(Swim::falseAlarms).sum();
+            long wrong = sim.wronglyGone();
+            sim.dead.add("r0500");
+            long from = sim.now;
+            double first = 0;
+            double half = 0;
+            while (sim.holding("r0500", State.GONE) < n - 1 && sim.now - from < 120 * S) {
+                sim.run(S / 10);
+                long suspects = sim.holding("r0500", State.SUSPECT) + sim.holding("r0500", State.GONE);
+                first = first == 0 && suspects > 0 ? (sim.now - from) / 1e9 : first;
+                half = half == 0 && sim.holding("r0500", State.GONE) > n / 2 ? (sim.now - from) / 1e9 : half;
+            }
+            System.out.printf("%d routers, %.0f%% loss: %.1f messages a router a second; in 30 s %d suspicions refuted, %d wrongly held for "
+                    + "gone; one dies: first suspected after %.1f s (paper: mean e/(e-1) periods = %.2f s), gone for half after %.1f s, for "
+                    + "all after %.1f s; at most %d rumors a message%n", n, loss * 100, each, alarms, wrong, first,
+                    Math.E / (Math.E - 1) * Terms.DEFAULT.periodNs() / 1e9, half, (sim.now - from) / 1e9, sim.mostRumors);
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/ashlink/fleet/member/SwimTest.java
@@ -0,0 +1,75 @@
+package ashlink.fleet.member;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ashlink.fleet.member.Rumor.State;
+import org.junit.jupiter.api.Test;
+
+class SwimTest {
+
+    private static final long S = FleetSim.S;
+
+    @Test
+    void aMemberThatDiesIsHeldForGoneByAllAndNobodyElseIs() {
+        FleetSim sim = new FleetSim(24, 0.01, 1);
+        sim.run(10 * S);
+        assertEquals(0, sim.wronglyGone());
+        sim.dead.add("r0007");
+        sim.run(15 * S);
+        assertEquals(23, sim.holding("r0007", State.GONE));
+        assertEquals(0, sim.wronglyGone());
+        assertTrue(sim.mostRumors <= Terms.DEFAULT.rumors() + 1, "messages are bounded");
+    }
+
+    @Test
+    void theSameSeedGivesTheSameStory() {
+        FleetSim a = new FleetSim(24, 0.05, 3);
+        FleetSim b = new FleetSim(24, 0.05, 3);
+        a.run(20 * S);
+        b.run(20 * S);
+        assertEquals(a.messages, b.messages);
+        a.members.forEach((n, s) -> assertEquals(s.members(), b.members.get(n).members()));
+    }
+
+    @Test
+    void aCutBetweenHallsHealsInBothDirections() {
+        FleetSim sim = new FleetSim(24, 0.01, 2);
+        sim.run(5 * S);
+        sim.passes = (from, to) -> (Integer.parseInt(from.substring(1)) < 12) == (Integer.parseInt(to.substring(1)) < 12);
+        sim.run(60 * S);
+        assertEquals(2 * 12 * 12, sim.wronglyGone(), "each side holds the other for gone");
+        sim.passes = (from, to) -> true;
+        sim.run(40 * S);
+        assertEquals(0, sim.wronglyGone());
+    }
+
+    @Test
+    void oneThatHearsAndIsNotHeardIsSavedByOthers() {
+        FleetSim sim = new FleetSim(24, 0.01, 4);
+        sim.passes = (from, to) -> !(from.equals("r0001") && to.equals("r0002"));
+        sim.run(60 * S);
+        assertEquals(0, sim.wronglyGone(), "indirect pings go around the broken way");
+    }
+
+    @Test
+    void oneThatWasPausedComesBackAndDoesNotBelieveThatTheWorldHasDied() {
+        FleetSim sim = new FleetSim(24, 0.01, 5);
+        sim.run(5 * S);
+        sim.paused.add("r0003");
+        sim.run(30 * S);
+        assertEquals(23, sim.holding("r0003", State.GONE));
+        sim.paused.remove("r0003");
+        sim.run(S);
+        assertEquals(0, sim.members.get("r0003").members().values().stream().filter(r -> r.state() == State.GONE).count());
+        sim.run(30 * S);
+        assertEquals(0, sim.wronglyGone());
+    }
+
+    @Test
+    void allThatRestartAtOnceFindEachOther() {
+        FleetSim sim = new FleetSim(48, 0.05, 6);
+        sim.run(20 * S);
+        assertEquals(0, sim.wronglyGone());
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/ashlink/fleet/notice/NoticeProperties.java
@@ -0,0 +1,119 @@
+package ashlink.fleet.notice;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.SplittableRandom;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class NoticeProperties {
+
+    private static final long DAY = 86_400_000L;
+
+    private static NoticeSet set() {
+        return new NoticeSet(1_000, 7 * DAY, 14 * DAY);
+    }
+
+    private static Notice notice(String subject, String owner, long revision, Intent intent) {
+        return new Notice(subject, owner, revision, intent, owner, "");
+    }
+
+    /** Few subjects, owners and revisions, so that they meet. */
+    private static List<Notice> some(SplittableRandom random, int count) {
+        List<Notice> all = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            all.add(notice("engine:q" + random.nextInt(3), "op" + random.nextInt(2), 1 + random.nextInt(3),
+                    Intent.values()[random.nextInt(3)]));
+        }
+        return all;
+    }
+
+    private static NoticeSet of(List<Notice> notices) {
+        NoticeSet s = set();
+        notices.forEach(n -> s.add(n, DAY, 0));
+        return s;
+    }
+
+    @Property(tries = 300, seed = "1")
+    void anyOrderAndAnyNumberOfTimesGiveTheSame(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Notice> notices = some(random, 1 + random.nextInt(12));
+        List<Notice> shuffled = new ArrayList<>(notices);
+        shuffled.addAll(some(new SplittableRandom(seed), 0));
+        shuffled.addAll(notices.subList(0, random.nextInt(notices.size())));
+        Collections.shuffle(shuffled, new Random(seed));
+        assertEquals(of(notices).all(0), of(shuffled).all(0));
+        assertEquals(of(notices).digest(), of(shuffled).digest());
+    }
+
+    @Property(tries = 300, seed = "2")
+    void setsThatTellEachOtherWhatTheyLackAreTheSameAfterwards(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        NoticeSet a = of(some(random, random.nextInt(10)));
+        NoticeSet b = of(some(random, random.nextInt(10)));
+        List<NoticeSet.Held> toB = a.lackedBy(b.digest(), 0);
+        b.lackedBy(a.digest(), 0).forEach(h -> a.add(h.notice(), h.leftMs(), 0));
+        toB.forEach(h -> b.add(h.notice(), h.leftMs(), 0));
+        assertEquals(a.all(0), b.all(0));
+        assertTrue(a.lackedBy(b.digest(), 0).isEmpty());
+    }
+
+    @Property(tries = 300, seed = "3")
+    void anOlderNoticeNeverChangesANewer(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        NoticeSet s = of(some(random, 8));
+        List<NoticeSet.Held> before = s.all(0);
+        for (NoticeSet.Held h : before) {
+            if (h.notice().revision() > 1) {
+                Notice old = notice(h.notice().subject(), h.notice().owner(), h.notice().revision() - 1, Intent.STOP);
+                assertFalse(s.add(old, 7 * DAY, 0));
+            }
+        }
+        assertEquals(before, s.all(0));
+    }
+
+    @Example
+    void eachOwnerHasASayAndTheStrongestHolds() {
+        NoticeSet s = set();
+        s.add(notice("engine:q1", "ann", 1, Intent.DRAIN), DAY, 0);
+        s.add(notice("engine:q1", "ben", 1, Intent.DRAIN), DAY, 0);
+        s.add(notice("engine:q1", "ann", 2, Intent.NONE), DAY, 0);
+        assertEquals(Intent.DRAIN, s.intent("engine:q1", 1), "ben still wants it");
+        assertEquals(List.of("ben"), s.owners("engine:q1", 1));
+        s.add(new Notice("engine:q1", "ben", s.nextRevision("engine:q1", "ben"), Intent.NONE, "ann", "overruled"), DAY, 0);
+        assertEquals(Intent.NONE, s.intent("engine:q1", 1));
+    }
+
+    @Example
+    void aNoticeEndsByItsTimeAndAnOlderOneStaysDead() {
+        NoticeSet s = set();
+        s.add(notice("engine:q1", "ann", 2, Intent.DRAIN), 1_000, 0);
+        assertEquals(Intent.DRAIN, s.intent("engine:q1", 999));
+        assertEquals(Intent.NONE, s.intent("engine:q1", 1_000));
+        s.add(notice("engine:q1", "ann", 1, Intent.STOP), 7 * DAY, 2_000);
+        assertEquals(Intent.NONE, s.intent("engine:q1", 2_001), "from a backup");
+        s.forget(13 * DAY);
+        assertEquals(1, s.size());
+        s.forget(15 * DAY);
+        assertEquals(0, s.size());
+        s.add(notice("engine:q1", "ann", 1, Intent.DRAIN), 1000 * DAY, 0);
+        assertEquals(Intent.NONE, s.intent("engine:q1", 8 * DAY), "no notice holds for longer than the longest");
+    }
+
+    @Example
+    void aFullSetTakesNoNewSayButNewerOnesOfThoseItHas() {
+        NoticeSet s = new NoticeSet(2, DAY, DAY);
+        assertTrue(s.add(notice("engine:a", "o", 1, Intent.DRAIN), DAY, 0));
+        assertTrue(s.add(notice("engine:b", "o", 1, Intent.DRAIN), DAY, 0));
+        assertFalse(s.add(notice("engine:c", "o", 1, Intent.DRAIN), DAY, 0));
+        assertTrue(s.add(notice("engine:a", "o", 2, Intent.NONE), DAY, 0));
+        assertTrue(s.add(notice("engine:c", "o", 1, Intent.DRAIN), DAY, 3 * DAY), "those that are over made room");
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/ashlink/fleet/supervise/RestartsTest.java
@@ -0,0 +1,35 @@
+package ashlink.fleet.supervise;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import ashlink.fleet.supervise.Restarts.Decision;
+import ashlink.fleet.supervise.Restarts.What;
+import org.junit.jupiter.api.Test;
+
+class RestartsTest {
+
+    private static final long S = 1_000_000_000L;
+
+    @Test
+    void shortRunsPauseLongerUntilTheyAreALoopAndAGoodOneMakesGood() {
+        Restarts r = new Restarts(Restarts.Terms.DEFAULT);
+        assertEquals(new Decision(What.AGAIN, S / 2), r.ended(0, S, 137, false));
+        assertEquals(new Decision(What.AGAIN, S), r.ended(2 * S, 3 * S, 137, false));
+        assertEquals(new Decision(What.AGAIN, 2 * S), r.ended(4 * S, 5 * S, 1, false));
+        assertEquals(new Decision(What.AGAIN, 0), r.ended(10 * S, 80 * S, 137, false));
+        assertEquals(new Decision(What.AGAIN, S / 2), r.ended(81 * S, 82 * S, 137, false));
+        for (int i = 0; i < 3; i++) {
+            assertEquals(What.AGAIN, r.ended(90 * S + i, 91 * S + i, 137, false).what());
+        }
+        assertEquals(new Decision(What.LOOP, 30 * S), r.ended(100 * S, 101 * S, 137, false));
+        assertEquals(What.AGAIN, r.ended(1_000 * S, 1_001 * S, 137, false).what(), "long after, it is none any more");
+    }
+
+    @Test
+    void whoWasToldToEndStaysEndedAndWhoCannotStartIsLeft() {
+        Restarts r = new Restarts(Restarts.Terms.DEFAULT);
+        assertEquals(What.DONE, r.ended(0, S, 0, false).what());
+        assertEquals(What.DONE, r.ended(0, S, 143, true).what());
+        assertEquals(What.GIVE_UP, r.ended(0, S, 2, false).what());
+    }
+}
--- a/rig/src/main/java/ashlink/rig/bench/HttpBench.java
+++ b/rig/src/main/java/ashlink/rig/bench/HttpBench.java
@@ -60,8 +60,8 @@
         closed(router, server, 16);
         large(router, server);
         engine.hang(true);
-        waiting(router, server);
         polls(router, server);
+        waiting(router, server);
         router.kill();
         engine.crash();
         try (Stream<Path> files = Files.walk(spool)) {
--- a/router/src/main/java/ashlink/router/Router.java
+++ b/router/src/main/java/ashlink/router/Router.java
@@ -27,6 +27,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -176,6 +177,16 @@
         engines.phase(engine, phase);
     }
 
+    /** These engines get no fresh work, whatever the list says; also before the start. */
+    public void drained(Set<String> names) {
+        engines.drained(names);
+    }
+
+    /** Takes no fresh requests, or does again. */
+    public void refuse(boolean refuses) {
+        core.refuse(refuses);
+    }
+
     /** Takes new settings: engines, users, and rules of classes; the rest needs a restart. */
     public void reload(RouterConfig next) {
         RouterConfig old = config;
@@ -187,7 +198,7 @@
                 old.metrics(), old.stateDir(), old.bounds(), old.kinds(), next.engines(), old.classes(),
                 next.rules().stream().filter(r -> old.classes().containsKey(r.queryClass())).toList(),
                 old.defaultClass(), old.defaultWriteClass(), next.users(), old.tenants(), old.overShareWorth(),
-                old.allowed(), old.limits(), old.gauges(), old.engineLogin(), old.capture(), old.http());
+                old.allowed(), old.limits(), old.gauges(), old.engineLogin(), old.capture(), old.http(), old.control());
         classifier = new Classifier(config);
         engines.configure(next.engines().values());
         LOG.info("reloaded");
--- a/router/src/main/java/ashlink/router/core/Core.java
+++ b/router/src/main/java/ashlink/router/core/Core.java
@@ -79,6 +79,7 @@
     private final Thread thread;
     private volatile Observer observer = (e, now, a) -> { };
     private volatile boolean taking = true;
+    private volatile boolean refusing;
     private volatile boolean stopped;
 
     /** A core that is not started; {@code classes} are those of the module's settings, by name. */
@@ -134,7 +135,7 @@
      * the door, of which the module never heard: the caller refuses it.
      */
     public long submit(CoreRequest request, AnswerSink sink) {
-        if (!taking || queue.size() >= queueBound) {
+        if (!taking || refusing || queue.size() >= queueBound) {
             metrics.answered(request.queryClass(), "turned away");
             return -1;
         }
@@ -323,6 +324,11 @@
     }
 
     // ---- Stop
+    /** Turns fresh requests away, or takes them again; what is open goes on. */
+    public void refuse(boolean refuses) {
+        refusing = refuses;
+    }
+
     /** Takes nothing more, lets what is open finish for that time, and answers the rest. */
     public void drain(long mostNs) throws InterruptedException {
         taking = false;
--- a/router/src/main/java/ashlink/router/http/Form.java
+++ b/router/src/main/java/ashlink/router/http/Form.java
@@ -6,8 +6,8 @@
 import ashlink.wire.WireLimits;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.util.ByteArrayBuilder;
 import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.math.BigDecimal;
 import java.math.BigInteger;
@@ -75,7 +75,7 @@
             read(header, limits, none);
             columns = none.get(0);
         }
-        ByteArrayOutputStream out = new ByteArrayOutputStream(blocks.length * 2 + 256);
+        ByteArrayBuilder out = new ByteArrayBuilder(blocks.length * 2 + 256);
         switch (this) {
             case JSON -> json(tables, columns, page, around, out);
             case CSV -> csv(tables, columns, page, out);
@@ -93,7 +93,7 @@
     }
 
     // ---- JSON
-    private static void json(List<Table> tables, Table columns, int page, Around around, ByteArrayOutputStream out)
+    private static void json(List<Table> tables, Table columns, int page, Around around, ByteArrayBuilder out)
             throws IOException {
         try (JsonGenerator g = FACTORY.createGenerator(out)) {
             g.writeStartObject();
@@ -126,7 +126,7 @@
         }
     }
 
-    private static void lines(List<Table> tables, ByteArrayOutputStream out) throws IOException {
+    private static void lines(List<Table> tables, ByteArrayBuilder out) throws IOException {
         try (JsonGenerator g = FACTORY.createGenerator(out)) {
             g.setRootValueSeparator(null);
             for (Table t : tables) {
@@ -194,7 +194,7 @@
     }
 
     // ---- CSV
-    private static void csv(List<Table> tables, Table columns, int page, ByteArrayOutputStream out) throws IOException {
+    private static void csv(List<Table> tables, Table columns, int page, ByteArrayBuilder out) throws IOException {
         if (page == 0 && columns != null) {
             for (int c = 0; c < columns.names().size(); c++) {
                 if (c > 0) {
@@ -220,38 +220,40 @@
     }
 
     /** Texts are always quoted and null never is: an empty field is null, "" is an empty text. */
-    private static void field(Object v, ByteArrayOutputStream out) throws IOException {
+    private static void field(Object v, ByteArrayBuilder out) throws IOException {
         if (v instanceof byte[] bytes) {
             quoted(bytes, out);
         } else if (v instanceof List<?>) {
-            ByteArrayOutputStream json = new ByteArrayOutputStream();
+            ByteArrayBuilder json = new ByteArrayBuilder();
             try (JsonGenerator g = FACTORY.createGenerator(json)) {
                 value(v, g);
             }
             quoted(json.toByteArray(), out);
         } else if (v instanceof BigDecimal d) {
-            out.writeBytes(d.toPlainString().getBytes(StandardCharsets.US_ASCII));
+            out.write(d.toPlainString().getBytes(StandardCharsets.US_ASCII));
         } else if (v instanceof Double || v instanceof Float) {
             double d = ((Number) v).doubleValue();
-            out.writeBytes((Double.isFinite(d) ? v.toString() : number(d)).getBytes(StandardCharsets.US_ASCII));
+            out.write((Double.isFinite(d) ? v.toString() : number(d)).getBytes(StandardCharsets.US_ASCII));
         } else if (v != null) {
             String text = v.toString();
             if (v instanceof String) {
                 quoted(text.getBytes(StandardCharsets.UTF_8), out);
             } else {
-                out.writeBytes(text.getBytes(StandardCharsets.UTF_8));
+                out.write(text.getBytes(StandardCharsets.UTF_8));
             }
         }
     }
 
-    private static void quoted(byte[] bytes, ByteArrayOutputStream out) {
+    private static void quoted(byte[] bytes, ByteArrayBuilder out) {
         out.write('"');
-        for (byte b : bytes) {
-            if (b == '"') {
-                out.write('"');
+        int from = 0;
+        for (int i = 0; i < bytes.length; i++) {
+            if (bytes[i] == '"') {
+                out.write(bytes, from, i + 1 - from);
+                from = i; // once more, with what follows
             }
-            out.write(b);
         }
+        out.write(bytes, from, bytes.length - from);
         out.write('"');
     }
 }
--- a/router/src/main/java/ashlink/router/http/HttpStatement.java
+++ b/router/src/main/java/ashlink/router/http/HttpStatement.java
@@ -427,10 +427,11 @@
         synchronized (state) {
             running = life.state() == Life.State.RUNNING;
         }
-        discard();
         if (running && exchange != null) {
-            exchange.cancel();
+            close(); // a writer that waits for room ends, so that the cancel finds the way free
+            exchange.cancel(); // who waits is told how it ended, before its result is dropped
         }
+        discard();
     }
 
     /** Nobody asks for it: its work is called off. */
--- a/router/src/main/java/ashlink/router/upstream/Engines.java
+++ b/router/src/main/java/ashlink/router/upstream/Engines.java
@@ -20,10 +20,13 @@
 import ashlink.wire.ServerPacket;
 import ashlink.wire.WireLimits;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
@@ -50,6 +53,9 @@
     private final String probeStatement;
     private final Map<String, EnginePool> pools = new ConcurrentHashMap<>();
     private final Map<String, Phase> phases = new ConcurrentHashMap<>();
+    /** What the list says, without what operators want. */
+    private final Map<String, Phase> listed = new HashMap<>();
+    private Set<String> drained = Set.of();
     private volatile Consumer<ListNews> news = n -> { };
 
     /** Reaches engines with threads of {@code workers}. */
@@ -88,14 +94,18 @@
         Map<String, EnginePool> before = new HashMap<>(pools);
         pools.clear();
         phases.clear();
+        listed.clear();
+        List<EngineSpec> effective = new ArrayList<>();
         for (EngineSpec s : specs) {
+            listed.put(s.name(), s.phase());
+            effective.add(new EngineSpec(s.name(), s.address(), s.zone(), s.kind(), s.cell(), phase(s.name())));
             EnginePool old = before.get(s.name());
             boolean same = old != null && old.address().equals(s.address());
             pools.put(s.name(), same ? before.remove(s.name()) : pool(s));
-            phases.put(s.name(), s.phase());
+            phases.put(s.name(), phase(s.name()));
         }
         before.values().forEach(EnginePool::close);
-        news.accept(roster.configure(specs));
+        news.accept(roster.configure(effective));
     }
 
     private EnginePool pool(EngineSpec s) {
@@ -106,10 +116,29 @@
 
     /** The list says that of an engine. */
     public synchronized void phase(String engine, Phase phase) {
+        listed.put(engine, phase);
+        tell(engine);
+    }
+
+    /** Operators want these engines to get no fresh work: that holds whatever the list says. */
+    public synchronized void drained(Set<String> engines) {
+        Set<String> changed = new TreeSet<>(engines);
+        changed.addAll(drained);
+        changed.removeIf(e -> engines.contains(e) == drained.contains(e));
+        drained = Set.copyOf(engines);
+        changed.forEach(this::tell);
+    }
+
+    /** A drain from anywhere holds. */
+    private Phase phase(String engine) {
+        return drained.contains(engine) ? Phase.DRAINING : listed.getOrDefault(engine, Phase.READY);
+    }
+
+    private void tell(String engine) {
         if (pools.containsKey(engine)) {
-            phases.put(engine, phase);
+            phases.put(engine, phase(engine));
+            roster.phase(engine, phase(engine)).ifPresent(news);
         }
-        roster.phase(engine, phase).ifPresent(news);
     }
 
     /** The list in hand. */
--- a/router/src/test/java/ashlink/router/spool/SpoolTest.java
+++ b/router/src/test/java/ashlink/router/spool/SpoolTest.java
@@ -6,7 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import ashlink.capture.log.Disk;
+import ashlink.capture.log.FaultyDisk;
 import ashlink.capture.log.FolderDisk;
 import ashlink.router.core.Ending;
 import ashlink.router.statement.KeyTable;
@@ -20,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -100,80 +101,47 @@
         }
     }
 
-    /** A disk whose next sync fails. */
-    private static final class SyncFails implements Disk {
-        private final Disk disk;
-        private final AtomicBoolean fails = new AtomicBoolean();
-
-        SyncFails(Disk disk) {
-            this.disk = disk;
-        }
-
-        @Override
-        public List<String> list() throws IOException {
-            return disk.list();
-        }
-
-        @Override
-        public Appender create(String name) throws IOException {
-            Appender a = disk.create(name);
-            return new Appender() {
-                @Override
-                public void append(byte[] bytes, int from, int length) throws IOException {
-                    a.append(bytes, from, length);
-                }
-
-                @Override
-                public void sync() throws IOException {
-                    if (fails.getAndSet(false)) {
-                        throw new IOException("no space");
-                    }
-                    a.sync();
-                }
-
-                @Override
-                public void close() throws IOException {
-                    a.close();
-                }
-            };
-        }
-
-        @Override
-        public byte[] read(String name) throws IOException {
-            return disk.read(name);
-        }
-
-        @Override
-        public long size(String name) throws IOException {
-            return disk.size(name);
-        }
-
-        @Override
-        public void delete(String name) throws IOException {
-            disk.delete(name);
-        }
-
-        @Override
-        public void close() throws IOException {
-            disk.close();
-        }
-    }
-
     @Test
     void aKeyWhoseSyncFailsIsNotAcknowledgedAndTheNextIs() throws Exception {
         KeyTable t = table();
-        SyncFails disk = new SyncFails(FolderDisk.writing(dir));
+        FaultyDisk disk = new FaultyDisk();
         KeyJournal j = new KeyJournal(disk, t, 1);
         j.put(claim(t, "a"));
-        disk.fails.set(true);
+        disk.syncFails(true);
         assertThrows(IOException.class, () -> j.put(claim(t, "b")));
+        disk.syncFails(false);
         j.put(claim(t, "c"));
-        j.close();
         KeyTable after = table();
-        new KeyJournal(FolderDisk.writing(dir), after, 1).close();
+        new KeyJournal(disk.afterPowerLoss(new SplittableRandom(1)), after, 1);
         assertTrue(after.ofStatement("s-a") != null && after.ofStatement("s-c") != null);
     }
 
+    @Test
+    void noAcknowledgedKeyIsLostWhenThePowerGoes() throws Exception {
+        SplittableRandom random = new SplittableRandom(3);
+        int lost = 0;
+        for (int i = 0; i < 200; i++) {
+            KeyTable t = table();
+            FaultyDisk disk = new FaultyDisk();
+            KeyJournal j = new KeyJournal(disk, t, 1);
+            List<String> acknowledged = new ArrayList<>();
+            int faulty = random.nextInt(20);
+            for (int n = 0; n < 20; n++) {
+                disk.shortWriteIn(n == faulty ? random.nextInt(2) : -1);
+                try {
+                    j.put(claim(t, "k" + n));
+                    acknowledged.add("s-k" + n);
+                } catch (IOException e) {
+                    lost++;
+                }
+            }
+            KeyTable after = table();
+            new KeyJournal(disk.afterPowerLoss(random), after, 1);
+            assertTrue(acknowledged.stream().allMatch(s -> after.ofStatement(s) != null), "run " + i);
+        }
+        assertTrue(lost > 50, "faults at stake: " + lost);
+    }
+
     // ---- Pages
     private PageStore store(SpoolFiles files, long all, long memory) {
         return new PageStore(files, new SpoolBudget(new SpoolBudget.Limits(all, all, all, 0)), Quota.NONE, memory);
