--- a/control/src/main/java/ashlink/control/node/Node.java
+++ b/control/src/main/java/ashlink/control/node/Node.java
@@ -9,6 +9,7 @@
 import ashlink.fleet.member.Rumor;
 import ashlink.fleet.member.Swim;
 import ashlink.fleet.member.Terms;
+import ashlink.fleet.notice.Carrier;
 import ashlink.fleet.notice.Intent;
 import ashlink.fleet.notice.Notice;
 import ashlink.fleet.notice.NoticeSet;
@@ -25,7 +26,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.SplittableRandom;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -40,11 +40,7 @@
     private static final long MS = 1_000_000L;
     private static final long LOOK_NS = 10 * MS;
     private static final long COMPARE_NS = 1_000 * MS;
-    /** Peers that a notice is told at once: all up to so many, a sample beyond. */
-    private static final int ALL = 32;
-    private static final int SAMPLE = 6;
     private static final int MOST_NOTICES = 1_000;
-    private static final int CHUNK = 200;
     private static final long DAY_MS = 86_400_000L;
 
     /** A node's settings; {@code peers} are the other routers by name. */
@@ -58,7 +54,7 @@
     private final Map<String, PeerLink> links = new HashMap<>();
     private final NoticeSet notices = new NoticeSet(MOST_NOTICES, 30 * DAY_MS, 60 * DAY_MS);
     private final NoticeJournal journal;
-    private final SplittableRandom random;
+    private final Carrier carrier;
     private final Set<Notice> obeyed = new HashSet<>();
     private final Map<Notice, Long> learntMs = new HashMap<>();
     private final Thread thread;
@@ -76,7 +72,7 @@
         this.spec = spec;
         this.identity = identity;
         this.controlled = controlled;
-        this.random = new SplittableRandom(spec.seed());
+        this.carrier = new Carrier(notices, spec.seed());
         this.journal = new NoticeJournal(disk, notices, System.currentTimeMillis());
         notices.all(nowMs()).stream().filter(h -> h.notice().intent() == Intent.STOP).forEach(h -> obeyed.add(h.notice()));
         this.server = new ControlServer(identity, spec.listen(), this::handle);
@@ -116,7 +112,7 @@
                     swim.tick(now).forEach(this::send);
                     if (now >= compareNs) {
                         compareNs = now + COMPARE_NS;
-                        compare();
+                        carry(carrier.compare(links.keySet()));
                         saveAgain();
                         notices.forget(nowMs());
                         apply(); // what is over is over
@@ -142,22 +138,15 @@
         });
     }
 
-    private void compare() {
-        List<String> peers = new ArrayList<>(links.keySet());
-        if (!peers.isEmpty()) {
-            links.get(peers.get(random.nextInt(peers.size()))).send(Codec.digest(notices.digest(), false));
-        }
-    }
-
-    /** Tells a notice at once: to all, also to those that are held for gone, since that may be wrong. */
-    private void spread(List<Held> held, String but) {
-        List<String> peers = new ArrayList<>(links.keySet());
-        peers.remove(but);
-        boolean many = peers.size() > ALL;
-        while (many && peers.size() > SAMPLE) {
-            peers.remove(random.nextInt(peers.size()));
+    private void carry(List<Carrier.Out> all) {
+        for (Carrier.Out o : all) {
+            PeerLink link = links.get(o.peer());
+            if (link != null && o instanceof Carrier.Out.Tell t) {
+                link.send(Codec.notices("notices", t.notices()));
+            } else if (link != null && o instanceof Carrier.Out.Compare c) {
+                link.send(Codec.digest(c.digest(), c.back()));
+            }
         }
-        peers.forEach(p -> links.get(p).send(Codec.notices("notices", held)));
     }
 
     /** Takes notices: on the disk first, then in force, then carried on. */
@@ -176,7 +165,7 @@
         }
         if (!fresh.isEmpty()) {
             apply();
-            spread(fresh, from);
+            carry(carrier.spread(fresh, links.keySet(), from));
         }
         return fresh;
     }
@@ -271,18 +260,7 @@
     }
 
     private synchronized void compared(String peer, JsonNode frame) throws IOException {
-        Map<NoticeSet.Say, Integer> theirs = Codec.digest(frame);
-        List<Held> lacked = notices.lackedBy(theirs, nowMs());
-        PeerLink link = links.get(peer);
-        if (link == null) {
-            return;
-        }
-        for (int i = 0; i < lacked.size(); i += CHUNK) {
-            link.send(Codec.notices("notices", lacked.subList(i, Math.min(lacked.size(), i + CHUNK))));
-        }
-        if (!frame.path("back").asBoolean() && !theirs.equals(notices.digest())) {
-            link.send(Codec.digest(notices.digest(), true));
-        }
+        carry(carrier.compared(peer, Codec.digest(frame), frame.path("back").asBoolean(), nowMs()));
     }
 
     /** A command: its notices say who issued them, and that is who sent them. */
