--- a/cli/src/main/java/ashlink/cli/FleetCommand.java
+++ b/cli/src/main/java/ashlink/cli/FleetCommand.java
@@ -240,7 +240,11 @@
                 Predicate<Result> knows = r -> notices.stream().allMatch(n -> FleetTool.knows(r, n));
                 Map<String, Result> now = t.await(share, (long) (waitTimeout * S), knows);
                 int status = common.show(now, knows, (r, n) -> {
-                    n.put("told", told.get(r.router()).isReached()).put("knows", knows.test(r));
+                    Result t1 = told.get(r.router());
+                    n.put("told", t1.isReached()).put("knows", knows.test(r));
+                    if (t1.isReached()) {
+                        n.put("toldAtMs", t1.atMs());
+                    }
                     if (r.isReached() && !r.answer().path("durable").asBoolean()) {
                         n.put("durable", false);
                     }
--- a/control/src/main/java/ashlink/control/tool/FleetTool.java
+++ b/control/src/main/java/ashlink/control/tool/FleetTool.java
@@ -25,8 +25,12 @@
 
     private static final long POLL_MS = 50;
 
-    /** What came of one router; {@code answer} null where it was not reached, for the reason in {@code error}. */
-    public record Result(String router, JsonNode answer, String error) {
+    /**
+     * What came of one router; {@code answer} null where it was not reached, for the reason in {@code error}.
+     *
+     * @param atMs when that was known, in milliseconds since 1970
+     */
+    public record Result(String router, JsonNode answer, String error, long atMs) {
 
         /** True if it answered. */
         public boolean isReached() {
@@ -60,7 +64,7 @@
             try {
                 results.put(e.getKey(), e.getValue().get());
             } catch (ExecutionException x) {
-                results.put(e.getKey(), new Result(e.getKey(), null, String.valueOf(x.getCause())));
+                results.put(e.getKey(), new Result(e.getKey(), null, String.valueOf(x.getCause()), System.currentTimeMillis()));
             }
         }
         return results;
@@ -68,9 +72,9 @@
 
     private Result ask(String name, InetSocketAddress at, JsonNode frame) {
         try (ControlClient c = new ControlClient(identity, at, name, timeoutMs)) {
-            return new Result(name, c.ask(frame), "");
+            return new Result(name, c.ask(frame), "", System.currentTimeMillis());
         } catch (IOException e) {
-            return new Result(name, null, String.valueOf(e.getMessage()));
+            return new Result(name, null, String.valueOf(e.getMessage()), System.currentTimeMillis());
         }
     }
 
--- a/fleet/src/main/java/ashlink/fleet/member/Swim.java
+++ b/fleet/src/main/java/ashlink/fleet/member/Swim.java
@@ -289,6 +289,12 @@
         return all;
     }
 
+    /** What is held of one member; null of one that is not known. */
+    public State held(String member) {
+        Known k = members.get(member);
+        return k == null ? null : k.rumor.state();
+    }
+
     /** Times that this member was suspected and refuted it. */
     public long falseAlarms() {
         return falseAlarms;
