One log for tables: keys of statements and notices of a fleet

Cause: two journals had the same life: read at the start, written anew, a record for each change. Change: TableLog in the capture's log module; both journals keep only what is theirs. Options of 'capture export' and 'cut' are one.

--- a/cli/src/main/java/ashlink/cli/CaptureCommand.java
+++ b/cli/src/main/java/ashlink/cli/CaptureCommand.java
@@ -35,6 +35,15 @@
         return new CaptureReader(FolderDisk.reading(folder)).read(e -> { });
     }
 
+    /** A part of a capture. */
+    static final class Part {
+        @picocli.CommandLine.Option(names = "--from", description = "Number of the first entry, 0 for the first of the folder.")
+        private long from;
+
+        @picocli.CommandLine.Option(names = "--count", description = "Entries at most.")
+        private long count = Long.MAX_VALUE;
+    }
+
     /** Lists segments. */
     @Command(name = "ls", mixinStandardHelpOptions = true, description = "Lists the segments of a capture.")
     static final class List_ implements Callable<Integer> {
@@ -75,11 +84,8 @@
         @Parameters(paramLabel = "CAPTURE")
         private Path folder;
 
-        @picocli.CommandLine.Option(names = "--from", description = "Number of the first entry, 0 for the first of the folder.")
-        private long from;
-
-        @picocli.CommandLine.Option(names = "--count", description = "Entries at most.")
-        private long count = Long.MAX_VALUE;
+        @picocli.CommandLine.Mixin
+        private Part part;
 
         @Override
         public Integer call() throws Exception {
@@ -87,7 +93,7 @@
                 long[] number = new long[1];
                 new CaptureReader(FolderDisk.reading(folder)).read(e -> {
                     long n = number[0]++;
-                    if (n >= from && n - from < count) {
+                    if (n >= part.from && n - part.from < part.count) {
                         out.accept(e);
                     }
                 });
@@ -106,11 +112,8 @@
         @Parameters(index = "1", paramLabel = "FOLDER", description = "Where the part goes: a folder without a capture.")
         private Path to;
 
-        @picocli.CommandLine.Option(names = "--from", description = "Number of the first entry, 0 for the first of the folder.")
-        private long from;
-
-        @picocli.CommandLine.Option(names = "--count", description = "Entries at most.")
-        private long count = Long.MAX_VALUE;
+        @picocli.CommandLine.Mixin
+        private Part part;
 
         @Override
         public Integer call() throws Exception {
@@ -118,7 +121,7 @@
             long boot = segments.isEmpty() ? 0 : segments.get(0).boot();
             long written;
             Files.createDirectories(to);
-            try (FolderDisk disk = FolderDisk.writing(to); CaptureCut cut = new CaptureCut(disk, boot, from, count)) {
+            try (FolderDisk disk = FolderDisk.writing(to); CaptureCut cut = new CaptureCut(disk, boot, part.from, part.count)) {
                 new CaptureReader(FolderDisk.reading(folder)).read(cut);
                 written = cut.written();
             }
--- a/control/src/main/java/ashlink/control/node/NoticeJournal.java
+++ b/control/src/main/java/ashlink/control/node/NoticeJournal.java
@@ -1,8 +1,7 @@
 package ashlink.control.node;
 
 import ashlink.capture.log.Disk;
-import ashlink.capture.log.Segment;
-import ashlink.capture.log.SegmentWriter;
+import ashlink.capture.log.TableLog;
 import ashlink.fleet.notice.Intent;
 import ashlink.fleet.notice.Notice;
 import ashlink.fleet.notice.NoticeSet;
@@ -26,28 +25,15 @@
     private static final long SEGMENT_BYTES = 4L << 20;
     private static final int SLACK = 1_000;
 
-    private final Disk disk;
+    private final TableLog log;
     private final NoticeSet set;
-    private SegmentWriter log;
-    private long boot;
-    private long written;
 
     /** Reads what the disk has into the set, and goes on from there. */
     NoticeJournal(Disk disk, NoticeSet set, long nowMs) throws IOException {
-        this.disk = disk;
         this.set = set;
-        this.boot = nowMs;
-        for (String name : disk.list()) {
-            if (name.endsWith(".seg")) {
-                Segment.Contents c = Segment.read(disk.read(name));
-                if (c.state() == Segment.State.DAMAGED) {
-                    LOG.error("the notices are damaged in {}: {}; what followed comes from other routers", name, c.why());
-                }
-                boot = Math.max(boot, c.boot() + 1);
-                for (byte[] frame : c.frames()) {
-                    read(new DataInputStream(new ByteArrayInputStream(frame)), nowMs);
-                }
-            }
+        this.log = new TableLog(disk, SEGMENT_BYTES, nowMs);
+        for (String damage : log.read(r -> read(new DataInputStream(new ByteArrayInputStream(r)), nowMs))) {
+            LOG.error("the notices are damaged in {}; what followed comes from other routers", damage);
         }
         rewrite(nowMs);
     }
@@ -72,37 +58,24 @@
 
     /** Keeps a notice; returns once it is on the disk. */
     void put(Notice n, long leftMs, long nowMs) throws IOException {
-        if (written > SLACK + 4L * set.size()) {
+        if (log.written() > SLACK + 4L * set.size()) {
             rewrite(nowMs);
         }
-        byte[] record = record(n, nowMs + leftMs);
-        log.append(record, record.length, written++);
+        log.append(record(n, nowMs + leftMs));
         log.sync();
     }
 
     /** Writes the set anew; what was written before goes once that is on the disk. */
     void rewrite(long nowMs) throws IOException {
-        List<String> before = new ArrayList<>(disk.list());
-        if (log != null) {
-            log.close();
-        }
-        log = new SegmentWriter(disk, boot++, SEGMENT_BYTES, Long.MAX_VALUE);
-        written = 0;
+        List<byte[]> records = new ArrayList<>();
         for (NoticeSet.Held h : set.all(nowMs)) {
-            byte[] record = record(h.notice(), nowMs + h.leftMs());
-            log.append(record, record.length, written++);
-        }
-        log.sync();
-        for (String name : before) {
-            if (name.endsWith(".seg")) {
-                disk.delete(name);
-            }
+            records.add(record(h.notice(), nowMs + h.leftMs()));
         }
+        log.rewrite(records);
     }
 
     @Override
     public void close() throws IOException {
         log.close();
-        disk.close();
     }
 }
--- a/router/src/main/java/ashlink/router/spool/KeyJournal.java
+++ b/router/src/main/java/ashlink/router/spool/KeyJournal.java
@@ -1,8 +1,7 @@
 package ashlink.router.spool;
 
 import ashlink.capture.log.Disk;
-import ashlink.capture.log.Segment;
-import ashlink.capture.log.SegmentWriter;
+import ashlink.capture.log.TableLog;
 import ashlink.router.core.Ending;
 import ashlink.router.statement.KeyTable;
 import ashlink.router.statement.KeyTable.Entry;
@@ -30,20 +29,15 @@
     private static final int RELEASE = 2;
     private static final int SLACK = 10_000;
 
-    private final Disk disk;
+    private final TableLog log;
     private final KeyTable table;
     private final Object syncing = new Object();
     private final List<Pending> pending = new ArrayList<>();
-    private SegmentWriter log;
-    private long boot;
-    private long written;
-    private long live;
 
     /** Reads the table that the disk has, and goes on from there; what was under way has an unknown fate now. */
     public KeyJournal(Disk disk, KeyTable table, long nowMs) throws IOException {
-        this.disk = disk;
+        this.log = new TableLog(disk, SEGMENT_BYTES, nowMs);
         this.table = table;
-        this.boot = nowMs;
         load();
         table.expire(nowMs);
         rewrite();
@@ -51,18 +45,8 @@
 
     // ---- Reading
     private void load() throws IOException {
-        for (String name : disk.list()) {
-            if (!name.endsWith(".seg")) {
-                continue;
-            }
-            Segment.Contents c = Segment.read(disk.read(name));
-            if (c.state() == Segment.State.DAMAGED) {
-                LOG.error("the journal of keys is damaged in {}: {}; keys after that place in it are lost", name, c.why());
-            }
-            boot = Math.max(boot, c.boot() + 1);
-            for (byte[] frame : c.frames()) {
-                apply(new DataInputStream(new ByteArrayInputStream(frame)));
-            }
+        for (String damage : log.read(r -> apply(new DataInputStream(new ByteArrayInputStream(r))))) {
+            LOG.error("the journal of keys is damaged in {}; keys after that place in it are lost", damage);
         }
         for (Entry e : table.entries()) {
             table.put(e.afterRestart());
@@ -122,13 +106,12 @@
         Pending mine = new Pending();
         synchronized (this) {
             try {
-                log.append(record, record.length, written);
+                log.append(record);
             } catch (IOException x) {
                 settle(x); // what was appended before and not synced is not believed either
                 throw x;
             }
             pending.add(mine);
-            written++;
         }
         synchronized (syncing) {
             if (!mine.done) {
@@ -164,7 +147,8 @@
     public void tidy() throws IOException {
         synchronized (syncing) {
             synchronized (this) {
-                if (written - live > SLACK + 4L * table.entries().size()) {
+                if (log.written() > SLACK + 4L * table.entries().size()) {
+                    sync();
                     rewrite();
                 }
             }
@@ -172,24 +156,11 @@
     }
 
     private void rewrite() throws IOException {
-        List<String> before = new ArrayList<>(disk.list());
-        if (log != null) {
-            sync();
-            log.close();
-        }
-        log = new SegmentWriter(disk, boot++, SEGMENT_BYTES, Long.MAX_VALUE);
+        List<byte[]> records = new ArrayList<>();
         for (Entry e : table.entries()) {
-            byte[] record = record(PUT, e);
-            log.append(record, record.length, written++);
-        }
-        log.sync();
-        settle(null);
-        live = written;
-        for (String name : before) {
-            if (name.endsWith(".seg")) {
-                disk.delete(name);
-            }
+            records.add(record(PUT, e));
         }
+        log.rewrite(records);
     }
 
     @Override
@@ -197,6 +168,5 @@
         synchronized (this) {
             log.close();
         }
-        disk.close();
     }
 }
