--- a/fleet/src/main/java/ashlink/fleet/notice/Notice.java
+++ b/fleet/src/main/java/ashlink/fleet/notice/Notice.java
@@ -1,6 +1,7 @@
 package ashlink.fleet.notice;
 
 import java.util.Comparator;
+import java.util.Objects;
 
 /**
  * What one operator wants of one subject. Each owner has a say of its own on each subject; of an owner's notices on a subject
@@ -44,6 +45,11 @@
         return "router:" + name;
     }
 
+    /** A hash for who compares: the same in every process, which that of a record with an enumeration is not. */
+    int digest() {
+        return Objects.hash(subject, owner, revision, intent.ordinal(), by, why);
+    }
+
     /** Which of two notices of the same owner and subject holds: the greater. */
     @Override
     public int compareTo(Notice other) {
--- a/fleet/src/main/java/ashlink/fleet/notice/NoticeSet.java
+++ b/fleet/src/main/java/ashlink/fleet/notice/NoticeSet.java
@@ -116,7 +116,7 @@
         List<Held> lacked = new ArrayList<>();
         entries.forEach((say, e) -> {
             Integer theirs = digest.get(say);
-            if (theirs == null || theirs != e.notice.hashCode()) {
+            if (theirs == null || theirs != e.notice.digest()) {
                 lacked.add(new Held(e.notice, e.untilMs - nowMs));
             }
         });
@@ -126,7 +126,7 @@
     /** Says with a hash of what is known of each, for who compares. */
     public Map<Say, Integer> digest() {
         Map<Say, Integer> digest = new TreeMap<>();
-        entries.forEach((say, e) -> digest.put(say, e.notice.hashCode()));
+        entries.forEach((say, e) -> digest.put(say, e.notice.digest()));
         return digest;
     }
 
--- a/fleet/src/test/java/ashlink/fleet/notice/NoticeProperties.java
+++ b/fleet/src/test/java/ashlink/fleet/notice/NoticeProperties.java
@@ -16,6 +16,8 @@
 class NoticeProperties {
 
     private static final long DAY = 86_400_000L;
+    /** Worked out apart from the code, by the definitions of Objects.hash and String.hashCode. */
+    private static final int DIGEST = 1912168615;
 
     private static NoticeSet set() {
         return new NoticeSet(1_000, 7 * DAY, 14 * DAY);
@@ -79,6 +81,11 @@
         assertEquals(before, s.all(0));
     }
 
+    @Example
+    void aDigestIsTheSameInEveryProcess() {
+        assertEquals(DIGEST, notice("engine:q1", "ann", 3, Intent.DRAIN).digest());
+    }
+
     @Example
     void eachOwnerHasASayAndTheStrongestHolds() {
         NoticeSet s = set();
--- a/router/src/main/java/ashlink/router/http/Registry.java
+++ b/router/src/main/java/ashlink/router/http/Registry.java
@@ -352,7 +352,7 @@
 
     int keyCount() {
         synchronized (keys) {
-            return keys.entries().size();
+            return keys.size();
         }
     }
 }
--- a/router/src/main/java/ashlink/router/spool/KeyJournal.java
+++ b/router/src/main/java/ashlink/router/spool/KeyJournal.java
@@ -12,6 +12,7 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -19,7 +20,7 @@
 /**
  * Keeps a table of keys on disk: a record for each change, in the log of captures. A key counts as claimed once its record
  * is synced; many claims share a sync. From time to time, and at each start, the table is written anew and the log before
- * is removed.
+ * is removed. Whoever else uses the table holds its lock meanwhile, and never while it calls the journal.
  */
 public final class KeyJournal implements AutoCloseable {
 
@@ -147,7 +148,7 @@
     public void tidy() throws IOException {
         synchronized (syncing) {
             synchronized (this) {
-                if (log.written() > SLACK + 4L * table.entries().size()) {
+                if (log.written() > SLACK + 4L * keys()) {
                     sync();
                     rewrite();
                 }
@@ -155,9 +156,19 @@
         }
     }
 
+    private int keys() {
+        synchronized (table) {
+            return table.size();
+        }
+    }
+
     private void rewrite() throws IOException {
+        Collection<Entry> entries;
+        synchronized (table) {
+            entries = table.entries();
+        }
         List<byte[]> records = new ArrayList<>();
-        for (Entry e : table.entries()) {
+        for (Entry e : entries) {
             records.add(record(PUT, e));
         }
         log.rewrite(records);
--- a/router/src/main/java/ashlink/router/statement/KeyTable.java
+++ b/router/src/main/java/ashlink/router/statement/KeyTable.java
@@ -126,6 +126,11 @@
         return gone;
     }
 
+    /** Keys that are taken. */
+    public int size() {
+        return entries.size();
+    }
+
     /** All entries, the oldest first. */
     public Collection<Entry> entries() {
         return List.copyOf(entries.values());
