Simpler: one size of decimals, a lease without an atomic, no dead figures

Cause: bytes of a decimal stood in three places; a lease kept an amount as bits of an atomic under its own lock; some methods and a parameter had no use, two interfaces were the JDK's. Change: TypeParser.decimalBytes serves all; plain fields and the JDK's interfaces; the rest is gone. A comment on a lock says what it holds.

--- a/background/src/main/java/ashlink/background/Lease.java
+++ b/background/src/main/java/ashlink/background/Lease.java
@@ -1,7 +1,6 @@
 package ashlink.background;
 
 import ashlink.background.plan.Decision.Resource;
-import java.util.concurrent.atomic.AtomicLong;
 
 /** What a run may use. Its methods are called by the run's own thread. */
 public final class Lease {
@@ -11,7 +10,7 @@
 
     private final Scheduler scheduler;
     private final long run;
-    private final AtomicLong granted = new AtomicLong();
+    private double granted;
     private long chargedNs = Scheduler.threadCpuNs();
 
     Lease(Scheduler scheduler, long run) {
@@ -52,16 +51,16 @@
     }
 
     synchronized void grant(double amount) {
-        granted.set(Double.doubleToLongBits(amount));
+        granted = amount;
         notifyAll();
     }
 
     synchronized double awaitGrant() throws InterruptedException {
-        long bits = granted.getAndSet(0);
-        while (bits == 0) {
+        while (granted == 0) {
             wait();
-            bits = granted.getAndSet(0);
         }
-        return Double.longBitsToDouble(bits);
+        double amount = granted;
+        granted = 0;
+        return amount;
     }
 }
--- a/control/src/main/java/ashlink/control/node/Node.java
+++ b/control/src/main/java/ashlink/control/node/Node.java
@@ -208,8 +208,9 @@
             }
         }
         controlled.drained(engines);
-        controlled.refuse(self != Intent.NONE && self != Intent.STOP || self == Intent.STOP && isFresh());
-        if (self == Intent.STOP && isFresh()) {
+        boolean stops = self == Intent.STOP && isFresh();
+        controlled.refuse(self == Intent.DRAIN || stops);
+        if (stops) {
             notices.all(nowMs()).forEach(h -> obeyed.add(h.notice()));
             controlled.stop();
         }
--- a/fleet/src/main/java/ashlink/fleet/member/Swim.java
+++ b/fleet/src/main/java/ashlink/fleet/member/Swim.java
@@ -277,11 +277,6 @@
     }
 
     // ---- What is known
-    /** Members that are not held for gone, this one left out. */
-    public List<String> reachable() {
-        return members.entrySet().stream().filter(e -> e.getValue().rumor.state() != State.GONE).map(Map.Entry::getKey).toList();
-    }
-
     /** What is held of each member, this one left out. */
     public Map<String, Rumor> members() {
         Map<String, Rumor> all = new TreeMap<>();
--- a/router/src/main/java/ashlink/router/front/Exchange.java
+++ b/router/src/main/java/ashlink/router/front/Exchange.java
@@ -61,11 +61,6 @@
                 ? new InsertFeed(context.config().bounds().heldInsert(), context.insertQuota()) : null;
     }
 
-    /** The core's number of it, for logs. */
-    public long id() {
-        return id;
-    }
-
     void id(long number) {
         id = number;
     }
--- a/router/src/main/java/ashlink/router/http/HeaderWatch.java
+++ b/router/src/main/java/ashlink/router/http/HeaderWatch.java
@@ -50,8 +50,4 @@
             }
         });
     }
-
-    int count() {
-        return connections.size();
-    }
 }
--- a/router/src/main/java/ashlink/router/http/HttpFront.java
+++ b/router/src/main/java/ashlink/router/http/HttpFront.java
@@ -19,6 +19,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.function.DoubleSupplier;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.NetworkConnectionLimit;
@@ -49,8 +50,7 @@
         this(context, background, metrics, files(context));
     }
 
-    /** The same with other files for its spool. */
-    public HttpFront(FrontContext context, Scheduler background, PrometheusRegistry metrics, SpoolFiles files)
+    private HttpFront(FrontContext context, Scheduler background, PrometheusRegistry metrics, SpoolFiles files)
             throws IOException {
         RouterConfig config = context.config();
         this.spec = config.http();
@@ -89,12 +89,8 @@
         return dir == null ? null : new SpoolFolder(dir, context.config().name(), context.boot());
     }
 
-    private interface Figure {
-        double now();
-    }
-
-    private static void gauge(PrometheusRegistry metrics, String name, String help, Figure figure) {
-        GaugeWithCallback.builder().name(name).help(help).callback(c -> c.call(figure.now())).register(metrics);
+    private static void gauge(PrometheusRegistry metrics, String name, String help, DoubleSupplier figure) {
+        GaugeWithCallback.builder().name(name).help(help).callback(c -> c.call(figure.getAsDouble())).register(metrics);
     }
 
     private HttpConfiguration http() {
@@ -159,11 +155,6 @@
         return store.taken();
     }
 
-    /** Connections open. */
-    public int connections() {
-        return watch.count();
-    }
-
     /** Tells all who wait that the router stops, and ends. */
     public void stop() {
         registry.stop();
--- a/router/src/main/java/ashlink/router/http/HttpStatement.java
+++ b/router/src/main/java/ashlink/router/http/HttpStatement.java
@@ -73,7 +73,7 @@
     private final WhenAnswered whenAnswered;
     private final long fromNs = System.nanoTime();
     private final ByteBuf open;
-    /** Guards what askers and the writer share; never held while something waits. */
+    /** Guards what askers and the writer share; held while a page is read, so that none is let go meanwhile, never while one waits. */
     private final Object state = new Object();
     private final Life life;
     private final PageWindow window = new PageWindow();
--- a/router/src/main/java/ashlink/router/http/RowsEncoder.java
+++ b/router/src/main/java/ashlink/router/http/RowsEncoder.java
@@ -5,6 +5,7 @@
 import ashlink.wire.ByteBuf;
 import ashlink.wire.ClientPacket;
 import ashlink.wire.StreamSource;
+import ashlink.wire.TypeParser;
 import ashlink.wire.WireException;
 import ashlink.wire.WireLimits;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -166,6 +167,6 @@
         if (d.precision() > digits) {
             throw new IllegalArgumentException();
         }
-        little(d.unscaledValue(), digits <= 9 ? 32 : digits <= 18 ? 64 : digits <= 38 ? 128 : 256, true, out);
+        little(d.unscaledValue(), 8 * TypeParser.decimalBytes(digits), true, out);
     }
 }
--- a/router/src/main/java/ashlink/router/http/StatementHandler.java
+++ b/router/src/main/java/ashlink/router/http/StatementHandler.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
@@ -103,7 +104,7 @@
         }
 
         void state(int status, HttpStatement s) {
-            send(status, "application/json", stateOf(s, true));
+            send(status, "application/json", stateOf(s));
         }
     }
 
@@ -153,12 +154,8 @@
         }
     }
 
-    private interface WithStatement {
-        void accept(HttpStatement s);
-    }
-
     /** Finds a statement of that user; one that is not here is told of as far as it is known. */
-    private void withStatement(Exchanged x, String id, String user, WithStatement then) {
+    private void withStatement(Exchanged x, String id, String user, Consumer<HttpStatement> then) {
         HttpStatement s = registry.find(id, user);
         if (s != null) {
             then.accept(s);
@@ -291,17 +288,16 @@
     }
 
     private void render(Exchanged x, HttpStatement s, Told told, Form form) {
-        long room = (long) GROWTH * told.blocks().length + 1024;
-        if (room > spec.renderBytes() / 2 ? !rendering.take(room = spec.renderBytes() / 2) : !rendering.take(room)) {
+        long room = Math.min((long) GROWTH * told.blocks().length + 1024, spec.renderBytes() / 2);
+        if (!rendering.take(room)) {
             x.problem(new Problem(Problem.Kind.BUSY, "", S, 0), s.id());
             return;
         }
-        long taken = room;
         Future<?> cut = context.timer().schedule(
                 () -> x.request.getConnectionMetaData().getConnection().getEndPoint().close(), spec.bodyNs(), TimeUnit.NANOSECONDS);
         Callback done = Callback.from(x.callback, () -> {
             cut.cancel(false); // a client that reads slower than that is cut off
-            rendering.give(taken);
+            rendering.give(room);
         });
         try {
             String next = told.last() ? null : Route.page(s.id(), told.page() + 1);
@@ -319,20 +315,20 @@
             x.response.write(true, ByteBuffer.wrap(body), done);
         } catch (IOException | RuntimeException e) {
             cut.cancel(false);
-            rendering.give(taken);
+            rendering.give(room);
             LOG.error("page {} of statement {} could not be rendered", told.page(), s.id(), e);
             x.problem(Problem.of(Problem.Kind.RESULT_LOST, String.valueOf(e.getMessage())), s.id());
         }
     }
 
-    private byte[] stateOf(HttpStatement s, boolean withNext) {
+    private static byte[] stateOf(HttpStatement s) {
         ObjectNode n = JSON.createObjectNode();
         n.put("id", s.id()).put("state", s.word()).put("elapsedMs", s.elapsedMs());
         n.put("rows", s.rows()).put("bytes", s.bytes());
         n.putObject("progress").put("rows", s.readRows()).put("bytes", s.readBytes());
         n.put("infoUri", "/v1/statements/" + s.id());
         int first = s.firstPage();
-        if (withNext && first >= 0) {
+        if (first >= 0) {
             n.put("nextUri", Route.page(s.id(), first));
         }
         try {
--- a/wire/src/main/java/ashlink/wire/TypeParser.java
+++ b/wire/src/main/java/ashlink/wire/TypeParser.java
@@ -205,7 +205,12 @@
     }
 
     private static ColumnType decimal(int digits) {
-        return new ColumnType.Fixed(digits <= 9 ? 4 : digits <= 18 ? 8 : digits <= 38 ? 16 : 32);
+        return new ColumnType.Fixed(decimalBytes(digits));
+    }
+
+    /** Bytes of a decimal number with so many digits, 1 to 76. */
+    public static int decimalBytes(int digits) {
+        return digits <= 9 ? 4 : digits <= 18 ? 8 : digits <= 38 ? 16 : 32;
     }
 
     private Term argument(Term t, int index) throws WireException {
--- a/wire/src/main/java/ashlink/wire/ValueReaders.java
+++ b/wire/src/main/java/ashlink/wire/ValueReaders.java
@@ -126,7 +126,7 @@
             case "Enum16" -> names(t, in -> (long) (short) readShort(in));
             case "Decimal32", "Decimal64", "Decimal128", "Decimal256" -> decimal(
                     Integer.parseInt(t.name().substring("Decimal".length())) / 8, scale(t, 0));
-            case "Decimal" -> decimal(decimalBytes(Integer.parseInt(t.arguments().get(0).name())), scale(t, 1));
+            case "Decimal" -> decimal(TypeParser.decimalBytes(Integer.parseInt(t.arguments().get(0).name())), scale(t, 1));
             case "UUID" -> in -> new UUID(in.readLong(), in.readLong()).toString();
             case "IPv4" -> in -> {
                 int v = in.readInt();
@@ -169,10 +169,6 @@
         return index < t.arguments().size() ? Integer.parseInt(t.arguments().get(index).name()) : 0;
     }
 
-    private static int decimalBytes(int digits) {
-        return digits <= 9 ? 4 : digits <= 18 ? 8 : digits <= 38 ? 16 : 32;
-    }
-
     private static One decimal(int bytes, int scale) {
         return in -> new BigDecimal(whole(in, bytes, true), scale);
     }
