The platform's protocol as one more way in and out of the router

Need: the operators put the program into service on routers that speak only their platform's protocol.

The reader of the platform's settings moved from the drill to `config.flat`, so that simulator and service use one. The core counts through an interface, so that a router without a metrics server keeps no table by engine.

--- a/cli/src/main/java/ashlink/cli/RouteCommand.java
+++ b/cli/src/main/java/ashlink/cli/RouteCommand.java
@@ -51,7 +51,7 @@
                 Thread.currentThread().interrupt();
             }
         }, "stop"));
-        Signals.handle("HUP", () -> reload(router));
+        ashlink.platform.Signals.handle("HUP", () -> reload(router));
         System.out.println("listening on " + router.address());
         if (router.httpAddress() != null) {
             System.out.println("statements over HTTP on " + router.httpAddress());
--- a/cli/src/test/java/ashlink/cli/ArchitectureTest.java
+++ b/cli/src/test/java/ashlink/cli/ArchitectureTest.java
@@ -18,7 +18,15 @@
             .layer("decisions").definedBy("ashlink")
             .layer("drill").definedBy("ashlink.drill..")
             .layer("wire").definedBy("ashlink.wire..")
-            .layer("config").definedBy("ashlink.config..")
+            .layer("config").definedBy("ashlink.config")
+            .layer("flat").definedBy("ashlink.config.flat..")
+            .layer("frame").definedBy("ashlink.platform.frame..")
+            .layer("line").definedBy("ashlink.platform.line..")
+            .layer("socket").definedBy("ashlink.platform.socket..")
+            .layer("engine").definedBy("ashlink.platform.engine..")
+            .layer("platform front").definedBy("ashlink.platform.front..")
+            .layer("journal").definedBy("ashlink.platform.journal..")
+            .layer("platform").definedBy("ashlink.platform")
             .layer("sql").definedBy("ashlink.sql..")
             .layer("capture").definedBy("ashlink.capture..")
             .layer("background").definedBy("ashlink.background..")
@@ -39,7 +47,16 @@
             .layer("rig").definedBy("ashlink.rig..")
             .layer("cli").definedBy("ashlink.cli..")
             .whereLayer("decisions").mayNotAccessAnyLayer()
-            .whereLayer("drill").mayOnlyAccessLayers("decisions")
+            .whereLayer("drill").mayOnlyAccessLayers("decisions", "flat")
+            .whereLayer("flat").mayOnlyAccessLayers("decisions")
+            .whereLayer("frame").mayNotAccessAnyLayer()
+            .whereLayer("line").mayNotAccessAnyLayer()
+            .whereLayer("socket").mayNotAccessAnyLayer()
+            .whereLayer("engine").mayOnlyAccessLayers("decisions", "core", "line", "socket")
+            .whereLayer("platform front").mayOnlyAccessLayers("decisions", "core", "engine", "frame", "socket")
+            .whereLayer("journal").mayOnlyAccessLayers("flat", "socket")
+            .whereLayer("platform").mayOnlyAccessLayers("decisions", "core", "engine", "platform front", "flat", "journal", "socket")
+            .whereLayer("platform").mayOnlyBeAccessedByLayers("cli")
             .whereLayer("wire").mayNotAccessAnyLayer()
             .whereLayer("config").mayOnlyAccessLayers("decisions")
             .whereLayer("core").mayOnlyAccessLayers("decisions")
@@ -65,6 +82,12 @@
     static final ArchRule CORE_HAS_NO_IO = noClasses().that().resideInAPackage("ashlink.router.core..")
             .should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.io..", "java.nio..", "ashlink.wire..");
 
+    /** Codecs are pure: bytes in, frames or answers out. */
+    @ArchTest
+    static final ArchRule CODECS_HAVE_NO_SOCKETS = noClasses().that().resideInAnyPackage("ashlink.platform.frame..",
+            "ashlink.platform.line..").should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.io..",
+            "java.util.concurrent..");
+
     /** What decides has no I/O, clock or unseeded randomness. */
     @ArchTest
     static final ArchRule DECISIONS_ARE_PURE = noClasses().that().resideInAnyPackage("ashlink", "ashlink.router.classify..",
--- a/drill/src/main/java/ashlink/drill/SettingsReader.java
+++ b/config/src/main/java/ashlink/config/flat/SettingsReader.java
@@ -1,4 +1,4 @@
-package ashlink.drill;
+package ashlink.config.flat;
 
 import ashlink.Gateway.Allowed;
 import ashlink.Gateway.Effect;
@@ -13,8 +13,8 @@
 import java.util.List;
 import java.util.Set;
 
-/** Reads the settings with which the wire starts an instance; complaints name the setting in the wire's words. */
-final class SettingsReader {
+/** Reads the settings with which a router starts; complaints name the setting in the platform's words. */
+public final class SettingsReader {
 
     private final Fields fields;
 
@@ -23,10 +23,10 @@
     }
 
     /** Returns the settings of a start message, or throws {@link IllegalArgumentException} naming a bad one. */
-    static Settings read(Fields fields) {
+    public static Settings read(Fields fields) {
         try {
             return new SettingsReader(fields).settings();
-        } catch (WireException e) {
+        } catch (FieldException e) {
             throw new IllegalArgumentException(e.getMessage(), e);
         }
     }
--- a/drill/src/main/java/ashlink/drill/Codec.java
+++ b/drill/src/main/java/ashlink/drill/Codec.java
@@ -24,6 +24,7 @@
 import ashlink.Gateway.SetAlarm;
 import ashlink.Gateway.Subscribe;
 import ashlink.Gateway.Terms;
+import ashlink.config.flat.Fields;
 import java.util.List;
 
 /** Turns lines of the wire into events and actions into lines; it decides nothing. */
--- a/drill/src/main/java/ashlink/drill/Drill.java
+++ b/drill/src/main/java/ashlink/drill/Drill.java
@@ -6,6 +6,9 @@
 import ashlink.Gateway.ListEntry;
 import ashlink.Gateway.Settings;
 import ashlink.Rules;
+import ashlink.config.flat.FieldException;
+import ashlink.config.flat.Fields;
+import ashlink.config.flat.SettingsReader;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.Writer;
@@ -32,7 +35,7 @@
                 out.append(reply).append("OK\n");
                 out.flush();
             }
-        } catch (WireException e) {
+        } catch (FieldException e) {
             throw new WireException("line " + lineNumber + ": " + e.getMessage());
         }
     }
@@ -49,7 +52,7 @@
         if (!line.startsWith("SYNC ")) {
             throw new WireException("expected SYNC");
         }
-        now = Fields.ofLine(line).whole("moment-ns");
+        now = LineFields.of(line).whole("moment-ns");
         for (line = need(in); !line.equals("END"); line = need(in)) {
             take(line, in);
         }
@@ -70,7 +73,7 @@
     }
 
     private void take(String line, BufferedReader in) throws IOException {
-        Fields f = Fields.ofLine(line);
+        Fields f = LineFields.of(line);
         int space = line.indexOf(' ');
         String name = space < 0 ? line : line.substring(0, space);
         switch (name) {
@@ -89,7 +92,7 @@
             if (!line.startsWith("M ")) {
                 throw new WireException("expected M");
             }
-            entries.add(Codec.entry(Fields.ofLine(line)));
+            entries.add(Codec.entry(LineFields.of(line)));
         }
         lists.put(f.whole("list"), List.copyOf(entries));
     }
--- a/drill/src/main/java/ashlink/drill/WireException.java
+++ b/drill/src/main/java/ashlink/drill/WireException.java
@@ -1,7 +1,9 @@
 package ashlink.drill;
 
+import ashlink.config.flat.FieldException;
+
 /** A line or a batch that the wire does not allow. */
-final class WireException extends RuntimeException {
+final class WireException extends FieldException {
 
     private static final long serialVersionUID = 1L;
 
--- a/drill/src/test/java/ashlink/drill/CodecTest.java
+++ b/drill/src/test/java/ashlink/drill/CodecTest.java
@@ -41,7 +41,7 @@
     }
 
     private static Object event(String line) {
-        return Codec.event(line.substring(0, line.indexOf(' ')), Fields.ofLine(line), true);
+        return Codec.event(line.substring(0, line.indexOf(' ')), LineFields.of(line), true);
     }
 
     @Test
@@ -72,7 +72,7 @@
     @Test
     void skipsMessagesThatConcernOthersAndRefusesBrokenOnes() {
         assertNull(event("WHISPER router-id=1 neighbour=2 body=00"));
-        assertThrows(WireException.class, () -> event("FIRED router-id=1 label=soon"));
+        assertThrows(ashlink.config.flat.FieldException.class, () -> event("FIRED router-id=1 label=soon"));
         assertThrows(WireException.class, () -> event("PONG router-id=1 engine=h:1 verdict=perhaps"));
         assertThrows(WireException.class, () -> event("FIRED label"));
     }
--- a/router/src/main/java/ashlink/router/Router.java
+++ b/router/src/main/java/ashlink/router/Router.java
@@ -14,6 +14,7 @@
 import ashlink.router.classify.Statements;
 import ashlink.router.core.Core;
 import ashlink.router.core.CoreClock;
+import ashlink.router.core.CoreMetrics;
 import ashlink.router.front.FrontContext;
 import ashlink.router.front.MemoryQuota;
 import ashlink.router.front.NativeListener;
@@ -96,7 +97,7 @@
         gateway = module.apply(config.settings());
         core = new Core(config.name(), gateway, config.allClasses(), engines, clock,
                 b.queue(),
-                b.openRequests(), registry);
+                b.openRequests(), new CoreMetrics(registry));
         String boot = Long.toString(System.currentTimeMillis(), Character.MAX_RADIX);
         FrontContext context = new FrontContext(() -> this.config, core, engines, workers, timer, limits,
                 new MemoryQuota(b.heldAnswers()), new MemoryQuota(b.heldInserts()), () -> classifier, new Statements(),
--- a/router/src/main/java/ashlink/router/core/Cause.java
+++ b/router/src/main/java/ashlink/router/core/Cause.java
@@ -12,6 +12,8 @@
     ENGINE_ERROR,
     /** The engine said that it did not start the statement. */
     TURNED_AWAY,
+    /** The engine said that the request was over when it came, so that it never ran. */
+    NOT_WANTED,
     /** This router had no thread or connection to spare, or what another attempt needs is no longer kept. */
     NO_MEANS,
     /** The engine was told to drain, or left, before the first byte. */
@@ -32,6 +34,7 @@
             case STATEMENT_ERROR -> phase.mayRun() ? Outcome.ERROR : Outcome.NEVER_SENT;
             case ENGINE_ERROR -> phase.mayRun() ? Outcome.ERROR : Outcome.NO_CONNECTION;
             case TURNED_AWAY -> phase == Phase.ANSWERING ? Outcome.RESET : Outcome.TURNED_AWAY;
+            case NOT_WANTED -> phase == Phase.ANSWERING ? Outcome.RESET : Outcome.NEVER_SENT;
             case NO_MEANS, DRAINED -> phase.mayRun() ? Outcome.RESET : Outcome.NEVER_SENT;
             case NO_CONNECTION, BROKEN -> phase.mayRun() ? Outcome.RESET : Outcome.NO_CONNECTION;
             case TIMED_OUT -> phase.mayRun() ? Outcome.TIMED_OUT : Outcome.NEVER_SENT;
--- a/router/src/main/java/ashlink/router/core/Core.java
+++ b/router/src/main/java/ashlink/router/core/Core.java
@@ -18,7 +18,6 @@
 import ashlink.Gateway.Send;
 import ashlink.Gateway.SetAlarm;
 import ashlink.Gateway.Terms;
-import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -70,7 +69,7 @@
     private final CoreClock clock;
     private final int queueBound;
     private final int openBound;
-    private final CoreMetrics metrics;
+    private final CoreMeter metrics;
     private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
     private final ScheduledThreadPoolExecutor timer;
     private final Map<Long, Open> open = new HashMap<>();
@@ -84,14 +83,15 @@
 
     /** A core that is not started; {@code classes} are those of the module's settings, by name. */
     public Core(String name, Gateway gateway, Map<String, QueryClass> classes, Transport transport, CoreClock clock,
-            int queueBound, int openBound, PrometheusRegistry registry) {
+            int queueBound, int openBound, CoreMeter metrics) {
         this.gateway = gateway;
         this.classes = Map.copyOf(classes);
         this.transport = transport;
         this.clock = clock;
         this.queueBound = queueBound;
         this.openBound = openBound;
-        this.metrics = new CoreMetrics(registry, queue::size, openCount::get);
+        this.metrics = metrics;
+        metrics.watch(queue::size, openCount::get);
         this.thread = new Thread(this::run, name + "-decisions");
         thread.setDaemon(true);
         timer = new ScheduledThreadPoolExecutor(1, r -> {
@@ -177,7 +177,7 @@
                 queue.take().run();
             } catch (InterruptedException e) {
                 return;
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) { // a dead decision thread would leave a router that only looks alive
                 LOG.error("the decision thread goes on after an error", e);
             }
         }
--- a/router/src/main/java/ashlink/router/core/CoreMetrics.java
+++ b/router/src/main/java/ashlink/router/core/CoreMetrics.java
@@ -5,15 +5,19 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.function.IntSupplier;
 
-/** What the core counts. */
-final class CoreMetrics {
+/** What the core counts, in a registry. */
+public final class CoreMetrics implements CoreMeter {
 
     private final Counter requests;
     private final Counter answers;
     private final Counter attempts;
     private final Counter moduleErrors;
 
-    CoreMetrics(PrometheusRegistry registry, IntSupplier queued, IntSupplier open) {
+    private final PrometheusRegistry registry;
+
+    /** Counts into that registry. */
+    public CoreMetrics(PrometheusRegistry registry) {
+        this.registry = registry;
         requests = Counter.builder().name("ashlink_requests").help("Requests taken").labelNames("class").register(registry);
         answers = Counter.builder().name("ashlink_answers").help("Final answers").labelNames("class", "answer")
                 .register(registry);
@@ -21,25 +25,33 @@
                 .register(registry);
         moduleErrors = Counter.builder().name("ashlink_module_errors").help("Exceptions of the decision module")
                 .register(registry);
+    }
+
+    @Override
+    public void watch(IntSupplier queued, IntSupplier open) {
         GaugeWithCallback.builder().name("ashlink_queue").help("Events waiting for the decision thread")
                 .callback(c -> c.call(queued.getAsInt())).register(registry);
         GaugeWithCallback.builder().name("ashlink_open_requests").help("Requests without a final answer")
                 .callback(c -> c.call(open.getAsInt())).register(registry);
     }
 
-    void taken(String queryClass) {
+    @Override
+    public void taken(String queryClass) {
         requests.labelValues(queryClass).inc();
     }
 
-    void answered(String queryClass, String answer) {
+    @Override
+    public void answered(String queryClass, String answer) {
         answers.labelValues(queryClass, answer).inc();
     }
 
-    void attempted(String engine, String outcome) {
+    @Override
+    public void attempted(String engine, String outcome) {
         attempts.labelValues(engine, outcome).inc();
     }
 
-    void moduleError() {
+    @Override
+    public void moduleError() {
         moduleErrors.inc();
     }
 }
