--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -7,4 +7,4 @@
 export MALLOC_ARENA_MAX=1
 exec java -Xms"${heap}m" -Xmx"${heap}m" -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:CICompilerCount=1 \
     -XX:ReservedCodeCacheSize=16m -XX:MaxMetaspaceSize=40m -XX:MaxDirectMemorySize=8m -Djdk.nio.maxCachedBufferSize=16384 \
-    -Dashlink.trace="${ASHLINK_TRACE:-0}" -XX:-UsePerfData -Xshare:auto -Djava.io.tmpdir="${TMPDIR:-/tmp}" -cp cli/target/ashlink.jar ashlink.cli.PlatformMain
+    -Dashlink.trace="${ASHLINK_TRACE:-0}" -XX:-UsePerfData -XX:SharedArchiveFile=cli/target/ashlink.jsa -Xshare:auto -Xlog:cds=off -Djava.io.tmpdir="${TMPDIR:-/tmp}" -cp cli/target/ashlink.jar ashlink.cli.PlatformMain
