A statement too deep for its thread's stack is unknown, never an overflow

Ruled out: a change of the reader (none since it came). The reader allows 240 steps within each other, which takes nearly all that such a stack leaves, and how much a frame takes depends on whether it is compiled yet. At fault: StatementReader.read, which took the limit on depth for the limit of the stack.

Change: an overflow reads as unknown, with its reason; client threads have 512 KiB by default (address space, not memory).

--- a/config/src/main/java/ashlink/config/RouterConfigReader.java
+++ b/config/src/main/java/ashlink/config/RouterConfigReader.java
@@ -359,7 +359,7 @@
                     s.size("packet", 256 * MIB, 1024, 2 * GIB - 64), s.duration("login", 5 * S, MS, HOUR),
                     s.duration("connect", 250 * MS, MS, HOUR), s.duration("idle-engine", 15 * S, MS, 24 * HOUR),
                     s.duration("idle-client", HOUR, MS, 240 * HOUR), (int) s.whole("engine-connections", 256L, 1, 100_000),
-                    s.duration("stop", 10 * S, 0, HOUR), s.size("stack", 256 * 1024L, 64 * 1024, 64 * MIB),
+                    s.duration("stop", 10 * S, 0, HOUR), s.size("stack", 512 * 1024L, 64 * 1024, 64 * MIB),
                     s.duration("answer-margin", 50 * MS, 0, HOUR));
         }
     }
--- a/sql/src/main/java/ashlink/sql/StatementReader.java
+++ b/sql/src/main/java/ashlink/sql/StatementReader.java
@@ -48,6 +48,11 @@
         } catch (NotUnderstood e) {
             reason = e.getMessage();
             at = e.at();
+        } catch (StackOverflowError e) {
+            // The limit on depth is for a thread's whole stack; what a caller has used of it, and how large frames are
+            // before they are compiled, is not known here. An honest answer all the same.
+            reason = "brackets or operators too deep within each other for this thread";
+            at = tokens.at();
         }
         boolean known = kind != Kind.UNKNOWN;
         String normal = known ? NormalText.of(tokens.taken()) : "unknown " + NormalText.rough(text, mostTokens);
