--- a/config/src/main/java/ashlink/config/flat/ReportReader.java
+++ b/config/src/main/java/ashlink/config/flat/ReportReader.java
@@ -1,6 +1,7 @@
 package ashlink.config.flat;
 
 import ashlink.Gateway.Report;
+import java.util.OptionalDouble;
 import java.util.function.Consumer;
 
 /** Reads an engine's load report, pairs of a name and a number, by the names of the settings; the rest is skipped. */
@@ -9,8 +10,9 @@
     private ReportReader() { }
 
     /**
-     * The report of a text whose pairs stand apart by {@code separator}. What is missing is NaN, never 0; a pair without
-     * a number is told to {@code complain}, which may throw, and is missing.
+     * The report of a text whose pairs stand apart by {@code separator}. What is missing is NaN, never 0, and so is a
+     * value below 0 or without end, as late and noisy reports may have; a pair without a number is told to
+     * {@code complain}, which may throw, and is missing.
      */
     public static Report read(String text, char separator, Consumer<String> complain) {
         double waiting = Double.NaN;
@@ -22,12 +24,16 @@
             int end = text.indexOf(separator, from);
             String pair = text.substring(from, end < 0 ? text.length() : end);
             from = end < 0 ? text.length() + 1 : end + 1;
+            if (pair.isEmpty()) {
+                continue; // a separator at the end
+            }
             int colon = pair.indexOf(':');
-            double value = colon < 0 ? Double.NaN : number(pair.substring(colon + 1));
-            if (Double.isNaN(value)) {
+            OptionalDouble told = colon < 0 ? OptionalDouble.empty() : number(pair.substring(colon + 1));
+            if (told.isEmpty()) {
                 complain.accept(pair);
                 continue;
             }
+            double value = told.getAsDouble();
             switch (pair.substring(0, colon)) {
                 case "pending", "queue" -> waiting = value;
                 case "cpu_share", "util" -> cores = value;
@@ -40,12 +46,12 @@
         return new Report(waiting, cores, memory, disks, inHand);
     }
 
-    private static double number(String text) {
+    private static OptionalDouble number(String text) {
         try {
             double value = Double.parseDouble(text);
-            return value >= 0 && Double.isFinite(value) ? value : Double.NaN;
+            return OptionalDouble.of(value >= 0 && Double.isFinite(value) ? value : Double.NaN);
         } catch (NumberFormatException e) {
-            return Double.NaN;
+            return OptionalDouble.empty();
         }
     }
 }
