--- a/cli/src/main/java/ashlink/cli/RouteCommand.java
+++ b/cli/src/main/java/ashlink/cli/RouteCommand.java
@@ -4,6 +4,7 @@
 import ashlink.config.RouterConfig;
 import ashlink.config.RouterConfigReader;
 import ashlink.control.node.Node;
+import ashlink.platform.Signals;
 import ashlink.router.Router;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -51,7 +52,7 @@
                 Thread.currentThread().interrupt();
             }
         }, "stop"));
-        ashlink.platform.Signals.handle("HUP", () -> reload(router));
+        Signals.handle("HUP", () -> reload(router));
         System.out.println("listening on " + router.address());
         if (router.httpAddress() != null) {
             System.out.println("statements over HTTP on " + router.httpAddress());
