--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -1,8 +1,10 @@
-#!/bin/sh
+#!/bin/bash
 # One router on the operators' platform. Shares out the memory limit of its configuration, then becomes the JVM, so that
-# signals reach it. Writes nothing: no perf-data file, no dump, no build.
-memory=$(sed -n 's/.*"memory_mb"[: ]*\([0-9][0-9]*\).*/\1/p' "$LB_CONFIG" | head -n 1)
-memory=${memory:-192}
+# signals reach it. Writes nothing: no perf-data file, no dump, no build. Starts nothing: the platform refuses a fork, so
+# that the configuration is read by the shell itself, in one gulp.
+IFS= read -r -d '' config < "$LB_CONFIG"
+[[ $config =~ \"memory_mb\"[[:space:]]*:[[:space:]]*([0-9]+) ]]
+memory=${BASH_REMATCH[1]:-192}
 heap=$((memory * 2 / 5))
 export MALLOC_ARENA_MAX=1
 exec java -Xms"${heap}m" -Xmx"${heap}m" -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:CICompilerCount=1 \
