--- a/decisions/src/test/java/ashlink/ManyGatewaysTest.java
+++ b/decisions/src/test/java/ashlink/ManyGatewaysTest.java
@@ -176,6 +176,60 @@
         assertTrue(sends.stream().allMatch(s -> s[1] == 100), "a long query got in by chance");
     }
 
+    /**
+     * Work that fleets of that size send one cold engine in its worst window, in queries of mean work: one gateway in ten
+     * has four times the mean of the traffic, one in three restarts in the middle and has forgotten what it sent, every
+     * second hears of the start late, and one attempt in twenty ends unanswered and is made again.
+     */
+    private static double coldFleet(int gateways, double[] sentWhileCold) {
+        List<long[]> sends = new ArrayList<>();
+        double work = 0;
+        int asked = 0;
+        for (int g = 0; g < gateways; g++) {
+            Router r = router(gateways, g, 3);
+            long start = r.now;
+            int each = g % 10 == 0 ? 120 : 20; // ten seconds of traffic
+            long gapMs = 10_000 / each;
+            r.pass(g % 2 == 0 ? 0 : 1_500);
+            r.list(ListForm.CHANGES, entry("e0", "z1", "big", Phase.READY, start));
+            for (int i = 0; r.now < start + 10_000 * MS; i++) {
+                if (g % 3 == 0 && i == each / 4) {
+                    long now = r.now;
+                    r = new Router(settings(gateways, g, NO_PRIORITIES, LIMITS));
+                    r.now = now;
+                    r.list(ListForm.WHOLE, entry("e0", "z1", "big", Phase.READY, start), Router.ready("e1"), Router.ready("e2"));
+                }
+                boolean brief = i % 5 != 0;
+                work += brief ? 100 : 3_000;
+                asked++;
+                r.ask(i, brief ? "look" : "report", null, 1, brief ? 100 : 3_000, brief ? 2_500 : 20_000);
+                for (Send s : List.copyOf(r.outstanding.values())) {
+                    if (s.engine().equals("e0")) {
+                        sends.add(new long[] {r.now, s.id() % 5 != 0 ? 100 : 3_000});
+                    }
+                    if (i % 20 == 7) {
+                        r.end(s.id(), 0, s.engine(), Outcome.TIMED_OUT, 50);
+                    }
+                }
+                r.serve(20, 100);
+                r.pass(gapMs);
+            }
+        }
+        sentWhileCold[0] = sends.size();
+        return worstWindow(sends, 2_000 * MS) / (work / asked);
+    }
+
+    @Test
+    void fleetsOfManySizesStayWithinWhatAColdEngineIsCountedToBear() {
+        for (int gateways : new int[] {20, 30, 100}) {
+            double[] sent = new double[1];
+            double worst = coldFleet(gateways, sent);
+            double bears = 3 * 0.3 * 8 * 0.85 * 2_000 / (0.8 * 100 + 0.2 * 3_000);
+            assertTrue(sent[0] > 10, gateways + " gateways sent it " + sent[0] + " while cold");
+            assertTrue(worst <= bears + 2 * Math.sqrt(bears) + 2, gateways + " gateways: " + worst + ", it bears " + bears);
+        }
+    }
+
     @Test
     void withoutFactsOfItsClassesAGatewaySendsAColdEngineNothingLong() {
         for (int g = 0; g < 40; g++) {
