--- a/review/standins/review/Client.java
+++ b/review/standins/review/Client.java
@@ -2,20 +2,26 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
-import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.Socket;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.ThreadLocalRandom;
 
-/** A sound client: one connection that carries requests, each on a new stream. */
+/** A sound client: one connection that carries requests, each on a new stream. One thread reads for all clients. */
 final class Client implements Closeable {
 
     /** What became of a request: the code of its answer, or -1 where the connection ended without one. */
@@ -48,21 +54,67 @@
 
     final String name;
     private final Record record;
-    private final Socket socket;
-    private final DataOutputStream out;
+    private final SocketChannel channel;
+    private ByteBuffer received = ByteBuffer.allocate(1 << 10);
     private final Map<Long, Request> open = new ConcurrentHashMap<>();
     final AtomicLong lastStream = new AtomicLong();
     private final Map<Long, CompletableFuture<Integer>> readiness = new ConcurrentHashMap<>();
     volatile String ended;
     volatile boolean goneAway;
 
+    private static final Selector SELECTOR = openSelector();
+    private static final Queue<Client> NEW = new ConcurrentLinkedQueue<>();
+
     Client(String name, int port, Record record) throws IOException {
         this.name = name;
         this.record = record;
-        socket = new Socket(InetAddress.getLoopbackAddress(), port);
-        socket.setTcpNoDelay(true);
-        out = new DataOutputStream(socket.getOutputStream());
-        Daemons.start(this::read);
+        channel = SocketChannel.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        channel.configureBlocking(false);
+        NEW.add(this);
+        SELECTOR.wakeup();
+    }
+
+    private static Selector openSelector() {
+        try {
+            Selector selector = Selector.open();
+            Daemons.start(() -> readAll(selector));
+            return selector;
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void readAll(Selector selector) {
+        while (true) {
+            try {
+                selector.select(1000);
+                for (Client client = NEW.poll(); client != null; client = NEW.poll()) {
+                    try {
+                        client.channel.register(selector, SelectionKey.OP_READ, client);
+                    } catch (IOException e) {
+                        client.end(e.toString());
+                    }
+                }
+                for (SelectionKey key : selector.selectedKeys()) {
+                    ((Client) key.attachment()).readable(key);
+                }
+                selector.selectedKeys().clear();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+
+    private void write(byte[] bytes, int from, int count) throws IOException {
+        ByteBuffer buffer = ByteBuffer.wrap(bytes, from, count);
+        synchronized (channel) {
+            while (buffer.hasRemaining()) {
+                if (channel.write(buffer) == 0) {
+                    Daemons.pause(1);
+                }
+            }
+        }
     }
 
     static String newId() {
@@ -103,12 +155,6 @@
 
     /** Writes a request; its answer comes in the returned object. */
     Request send(String queryClass, long waitMs, String key, String statement) throws IOException {
-        return send(queryClass, waitMs, key, statement, Integer.MAX_VALUE, 0);
-    }
-
-    /** Writes a request in pieces of some bytes, with a pause behind each but the last. */
-    Request send(String queryClass, long waitMs, String key, String statement, int piece, long pauseMs)
-            throws IOException {
         Request request = new Request(newId(), queryClass, lastStream.incrementAndGet(), waitMs);
         Map<String, String> fields = new LinkedHashMap<>();
         fields.put("class", queryClass);
@@ -123,15 +169,7 @@
         open.put(request.stream, request);
         record.log("client " + name + " sends " + request.id + " " + queryClass + " wait=" + waitMs + " stream="
                 + request.stream + " " + bytes.length + " bytes");
-        synchronized (out) {
-            for (int from = 0; from < bytes.length; from += Math.min(piece, bytes.length - from)) {
-                if (from > 0) {
-                    Daemons.pause(pauseMs);
-                }
-                out.write(bytes, from, Math.min(piece, bytes.length - from));
-            }
-            out.flush();
-        }
+        write(bytes, 0, bytes.length);
         request.writtenMs = Record.nowMs();
         return request;
     }
@@ -141,10 +179,8 @@
         long stream = lastStream.incrementAndGet();
         CompletableFuture<Integer> code = new CompletableFuture<>();
         readiness.put(stream, code);
-        synchronized (out) {
-            out.write(frame(20, stream, new byte[] {0}));
-            out.flush();
-        }
+        byte[] bytes = frame(20, stream, new byte[] {0});
+        write(bytes, 0, bytes.length);
         return code;
     }
 
@@ -152,29 +188,43 @@
         return open.size();
     }
 
-    private void read() {
-        String reason = "end of stream";
+    private void readable(SelectionKey key) {
         try {
-            DataInputStream in = new DataInputStream(new java.io.BufferedInputStream(socket.getInputStream()));
-            while (true) {
-                int length = in.readInt();
-                int type = in.readUnsignedByte();
-                long stream = in.readInt() & 0xffffffffL;
-                byte[] payload = in.readNBytes(length - 5);
-                if (payload.length < length - 5) {
-                    break;
-                }
+            int count = channel.read(received);
+            if (count < 0) {
+                key.cancel();
+                channel.close();
+                end("end of stream");
+                return;
+            }
+            received.flip();
+            while (received.remaining() >= 9 && received.remaining() >= 4 + received.getInt(received.position())) {
+                int length = received.getInt();
+                int type = received.get() & 0xff;
+                long stream = received.getInt() & 0xffffffffL;
+                byte[] payload = new byte[length - 5];
+                received.get(payload);
                 handle(type, stream, payload);
             }
+            received.compact();
+            if (!received.hasRemaining()) {
+                received = ByteBuffer.allocate(2 * received.capacity()).put(received.flip());
+            }
         } catch (IOException e) {
-            reason = String.valueOf(e);
+            key.cancel();
+            end(e.toString());
         }
+    }
+
+    private void end(String reason) {
         ended = reason;
-        record.log("client " + name + " connection ended (" + reason + ") with " + open.size()
-                + " requests without an answer");
+        if (!open.isEmpty()) {
+            record.log("client " + name + " connection ended (" + reason + ") with " + open.size()
+                    + " requests without an answer");
+        }
         open.values().forEach(request -> {
             record.log("client " + name + " NO ANSWER to " + request.id + " " + request.queryClass);
-            request.answer.complete(new Answer(-1, Record.nowMs(), "connection ended: " + ended));
+            request.answer.complete(new Answer(-1, Record.nowMs(), "connection ended: " + reason));
         });
         readiness.values().forEach(code -> code.complete(-1));
     }
@@ -212,6 +262,6 @@
 
     @Override
     public void close() throws IOException {
-        socket.close();
+        channel.close();
     }
 }
--- a/review/standins/review/NeverEnding.java
+++ b/review/standins/review/NeverEnding.java
@@ -16,7 +16,7 @@
     private static final int MEMORY_MB = 192;
     private static final int SOCKETS = 1024;
     private static final int BAD_CLIENTS = 200;
-    private static final int USUAL_CLIENTS = 4;
+    private static final int USUAL_CLIENTS = 8;
     private static final long CROSSING_MS = 50;
 
     public static void main(String[] args) {
@@ -30,7 +30,7 @@
     boolean play() throws Exception {
         List<Engine> engines = new ArrayList<>();
         List<String> hosts = new ArrayList<>();
-        for (int i = 0; i < 4; i++) {
+        for (int i = 0; i < 8; i++) {
             Engine engine = new Engine("s-0000000" + (i + 1), record, (lane, statement) ->
                     lane.equals("abfrage") ? 60 : lane.equals("ladung") ? 1500 : 1200);
             engines.add(engine);
--- a/review/standins/review/SilentClients.java
+++ b/review/standins/review/SilentClients.java
@@ -2,13 +2,14 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.Socket;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /** Bad clients open hundreds of connections and say nothing, while usual clients send requests on theirs. */
 final class SilentClients extends Case {
@@ -31,7 +32,7 @@
     private static final long CROSSING_MS = 50;
 
     private volatile boolean silentOver;
-    private final AtomicInteger silentOpened = new AtomicInteger();
+    private volatile int silentOpened;
 
     public static void main(String[] args) {
         run(new SilentClients(), args);
@@ -63,12 +64,7 @@
         Daemons.pause(startMs + 2 * ROUND_MS - Record.nowMs());
         record.say("bad clients begin: up to " + SILENT_CONNECTIONS + " connections at a time, without a byte");
         if (trouble) {
-            for (int i = 0; i < SILENT_CONNECTIONS; i++) {
-                Daemons.start(() -> silent(router.port));
-                if (i % 10 == 0) {
-                    Daemons.pause(10);
-                }
-            }
+            Daemons.start(() -> holdSilent(router.port));
         }
         Daemons.pause(startMs + 4 * ROUND_MS - Record.nowMs());
         silentOver = true;
@@ -148,17 +144,45 @@
         }
     }
 
-    private void silent(int port) {
+    /** Holds silent connections, and opens each again that the router has closed. */
+    private void holdSilent(int port) {
+        List<SocketChannel> held = new ArrayList<>();
+        ByteBuffer ignored = ByteBuffer.allocate(256);
         while (!silentOver) {
-            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-                silentOpened.incrementAndGet();
-                while (!silentOver && socket.getInputStream().read() >= 0) {
-                    continue;
+            int opened = 0;
+            while (held.size() < SILENT_CONNECTIONS && opened++ < 50) {
+                try {
+                    SocketChannel channel = SocketChannel.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+                    channel.configureBlocking(false);
+                    held.add(channel);
+                    silentOpened++;
+                } catch (IOException e) {
+                    record.log("bad client could not connect: " + e.getMessage());
                 }
-            } catch (IOException e) {
-                // closed by the router
             }
-            Daemons.pause(100);
+            Daemons.pause(50);
+            held.removeIf(channel -> isClosed(channel, ignored.clear()));
+        }
+        held.forEach(SilentClients::close);
+    }
+
+    private static boolean isClosed(SocketChannel channel, ByteBuffer ignored) {
+        try {
+            if (channel.read(ignored) >= 0) {
+                return false;
+            }
+        } catch (IOException e) {
+            // reset by the router
+        }
+        close(channel);
+        return true;
+    }
+
+    private static void close(SocketChannel channel) {
+        try {
+            channel.close();
+        } catch (IOException e) {
+            // closed
         }
     }
 }
