--- a/review/standins/review/Engine.java
+++ b/review/standins/review/Engine.java
@@ -33,6 +33,7 @@
     final String id;
     private final Record record;
     private final Work work;
+    private volatile int rows = 1;
     private final ServerSocket server;
     private final ScheduledThreadPoolExecutor timer;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
@@ -48,6 +49,12 @@
         Daemons.start(this::accept);
     }
 
+    /** Sets the number of rows of a result; all go into one page. */
+    Engine withRows(int count) {
+        rows = count;
+        return this;
+    }
+
     String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
@@ -108,7 +115,7 @@
                     try {
                         record.log("engine " + id + " served " + request);
                         answer(socket, request, "served", "fetches=1,rep=pending:0;x0:0.1",
-                                request + "\t" + id + "\t" + body.length + "\n");
+                                (request + "\t" + id + "\t" + body.length + "\n").repeat(rows));
                     } catch (IOException e) {
                         record.log("engine " + id + " could not answer " + request + ": " + e.getMessage());
                     }
