Router: a client that leaves within its external tables returns their memory

What callers would see: 'memory quota exhausted' for queries with external tables, until a restart. Cause: NativeClientConnection.handleQuery released the buffer of the tables only after the last one; a client that left before kept up to held-insert of held-inserts, each time. Change: released in a finally. Test: MisbehavingPeersTest.clientsThatLeaveInTheMiddleOfExternalTablesReleaseTheirMemory, before: 'memory quota exhausted: cannot reserve 15360 bytes ==> expected: <SERVED> but was: <EXCEPTION>'; after: 14 of 14 of the class passed.

--- a/loadtest/src/test/java/ashlink/loadtest/MisbehavingPeersTest.java
+++ b/loadtest/src/test/java/ashlink/loadtest/MisbehavingPeersTest.java
@@ -83,6 +83,35 @@
         }
     }
 
+    /**
+     * Guards against a quota that runs out for all clients: one that left in the middle of its
+     * external tables kept what it had reserved.
+     */
+    @Test
+    void clientsThatLeaveInTheMiddleOfExternalTablesReleaseTheirMemory() throws Exception {
+        String limits = "(bounds (held-insert 64KiB) (held-inserts 64KiB))";
+        try (TestFleet fleet = TestFleet.of("q1:typ-a").with(limits).start()) {
+            ByteBuf table =
+                    dataPacket()
+                            .putVarUInt(1)
+                            .putVarUInt(1)
+                            .putString("x")
+                            .putString("String")
+                            .putString("v".repeat(20_000));
+            for (int i = 0; i < 5; i++) {
+                NativeClient leaving = fleet.client("portal");
+                queryPacket("SELECT 1").writeTo(leaving.socket().getOutputStream());
+                table.writeTo(leaving.socket().getOutputStream());
+                leaving.socket().shutdownOutput();
+                // The router closes the connection once it has read up to the end of the input.
+                leaving.await(List.of(), System.nanoTime() + 5 * NS_PER_SECOND);
+            }
+            ByteBuf end = dataPacket().putVarUInt(0).putVarUInt(0);
+            Reply reply = replyAfter(fleet, queryPacket("SELECT 1"), table, end);
+            assertEquals(Kind.SERVED, reply.kind(), reply.message());
+        }
+    }
+
     private static void assertMalformedBlocksGetAnError(TestFleet fleet) throws Exception {
         for (int depth : new int[] {100, 9_000, 10_000}) {
             String nestedType = "Array(".repeat(depth) + "UInt8" + ")".repeat(depth);
--- a/router/src/main/java/ashlink/router/frontend/NativeClientConnection.java
+++ b/router/src/main/java/ashlink/router/frontend/NativeClientConnection.java
@@ -226,16 +226,7 @@
             exchange.awaitDone();
         }
         QueryPacket query = QueryPacket.read(in, revision, context.limits());
-        ByteBuf externalTables =
-                new ByteBuf(
-                        context.config().resourceLimits().insertBufferBytes(),
-                        context.insertQuota());
-        boolean hasMore = true;
-        while (hasMore) {
-            hasMore = !readExternalTable(externalTables, query.compressed());
-        }
-        byte[] encodedTables = Arrays.copyOf(externalTables.array(), externalTables.size());
-        externalTables.release();
+        byte[] encodedTables = readExternalTables(query.compressed());
         if (query.stage() != QueryPacket.COMPLETE) {
             throw new WireException(
                     WireException.Reason.MALFORMED, "unsupported query stage " + query.stage());
@@ -243,6 +234,24 @@
         submit(query, encodedTables);
     }
 
+    /** Reads the external tables of a query, up to the empty block that ends the list. */
+    private byte[] readExternalTables(boolean compressed) throws IOException {
+        ByteBuf tables =
+                new ByteBuf(
+                        context.config().resourceLimits().insertBufferBytes(),
+                        context.insertQuota());
+        try {
+            boolean hasMore = true;
+            while (hasMore) {
+                hasMore = !readExternalTable(tables, compressed);
+            }
+            return Arrays.copyOf(tables.array(), tables.size());
+        } finally {
+            // Also if the client leaves in the middle: the quota is shared with all other clients.
+            tables.release();
+        }
+    }
+
     /** Reads an external table; returns true for the empty block that ends the list. */
     private boolean readExternalTable(ByteBuf target, boolean compressed) throws IOException {
         int kind = in.readByte();
