Router: an insert too large to be replayed returns all that it reserved

What callers would see: with the limit of all inserts used up by earlier ones, none is sent a second time when its engine breaks. Cause: InsertFeed.put dropped the sent packets from its count before it released the count; their bytes stayed reserved for good. Change: the release comes first.

--- a/router/src/main/java/ashlink/router/frontend/InsertFeed.java
+++ b/router/src/main/java/ashlink/router/frontend/InsertFeed.java
@@ -46,8 +46,9 @@
                 && (bufferedBytes + packet.length > maxReplayBytes
                         || !quota.reserve(packet.length))) {
             replayable = false;
-            discardSent();
+            // Releases the sent packets as well, whose bytes were reserved like the others.
             quota.release(bufferedBytes);
+            discardSent();
         }
         while (!closed
                 && !replayable
