--- a/cli/src/test/java/ashlink/cli/KilledRouterTest.java
+++ b/cli/src/test/java/ashlink/cli/KilledRouterTest.java
@@ -13,7 +13,6 @@
 import ashlink.loadtest.fixture.EmulatedEngines;
 import ashlink.loadtest.fixture.TestSettings;
 import java.io.BufferedReader;
-import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -54,18 +53,6 @@
         return config;
     }
 
-    private static Process startRouter(Path config) throws IOException {
-        return new ProcessBuilder(
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                        "-cp",
-                        System.getProperty("java.class.path"),
-                        "ashlink.cli.Main",
-                        "route",
-                        config.toString())
-                .redirectError(ProcessBuilder.Redirect.DISCARD)
-                .start();
-    }
-
     private static int countAnswers(NativeClient client, int queries) {
         int answerCount = 0;
         for (int i = 0; i < queries; i++) {
@@ -85,7 +72,7 @@
         SplittableRandom random = new SplittableRandom(5);
         int answerCount = 0;
         for (int kill = 0; kill < KILLS; kill++) {
-            Process process = startRouter(config);
+            Process process = RouterProcess.start(config);
             try {
                 String line =
                         new BufferedReader(new InputStreamReader(process.getInputStream()))
--- a/cli/src/test/java/ashlink/cli/KilledStatementsTest.java
+++ b/cli/src/test/java/ashlink/cli/KilledStatementsTest.java
@@ -140,19 +140,6 @@
         return config;
     }
 
-    private static Process startRouter(Path config) throws IOException {
-        return new ProcessBuilder(
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                        "-XX:TieredStopAtLevel=1",
-                        "-cp",
-                        System.getProperty("java.class.path"),
-                        "ashlink.cli.Main",
-                        "route",
-                        config.toString())
-                .redirectError(ProcessBuilder.Redirect.DISCARD)
-                .start();
-    }
-
     /**
      * Kills a router at a pseudorandom time while clients post inserts. The last kill comes after
      * this time, as soon as the long insert runs.
@@ -242,7 +229,7 @@
         int leftoverFiles = 0;
         Set<String> repeatedKeys = new HashSet<>();
         for (int round = 0; round <= KILLS; round++) {
-            Process process = startRouter(config);
+            Process process = RouterProcess.start(config, "-XX:TieredStopAtLevel=1");
             try {
                 new BufferedReader(new InputStreamReader(process.getInputStream())).readLine();
                 repeatInserts(repeatedKeys, outcomes);
--- a/decisions/src/test/java/ashlink/decisions/WorkloadManagerInvariantsTest.java
+++ b/decisions/src/test/java/ashlink/decisions/WorkloadManagerInvariantsTest.java
@@ -36,6 +36,21 @@
 /** Tests each of the seven invariants of the workload manager. */
 class WorkloadManagerInvariantsTest {
 
+    /** Returns a router with one at-most-once class that keeps the order of each key. */
+    private static RouterHarness orderedLoads(String... engines) {
+        return atMostOnceLoads(true, engines);
+    }
+
+    private static RouterHarness unorderedLoads(String... engines) {
+        return atMostOnceLoads(false, engines);
+    }
+
+    private static RouterHarness atMostOnceLoads(boolean ordered, String... engines) {
+        return RouterHarness.withClasses(
+                        loadClass(RetrySafety.AT_MOST_ONCE, DeduplicationScope.ALL, ordered))
+                .withEngines(engines);
+    }
+
     @Test
     void queuedQueryIsRejectedOnceBeforeItsDeadline() {
         RouterHarness router =
@@ -65,13 +80,7 @@
     void atMostOnceQueryThatMayHaveRunFailsWithoutRetry() {
         for (Outcome outcome :
                 List.of(Outcome.TIMED_OUT, Outcome.RESET, Outcome.ERROR, Outcome.CANCELLED)) {
-            RouterHarness router =
-                    RouterHarness.withClasses(
-                                    loadClass(
-                                            RetrySafety.AT_MOST_ONCE,
-                                            DeduplicationScope.ALL,
-                                            false))
-                            .withEngines("a", "b");
+            RouterHarness router = unorderedLoads("a", "b");
             String engine = enginesOf(router.submit(1, "load", null, 100)).get(0);
             assertEquals(
                     List.of(new Fail(1)),
@@ -83,10 +92,7 @@
 
     @Test
     void atMostOnceQueryThatNeverRanIsRetried() {
-        RouterHarness router =
-                RouterHarness.withClasses(
-                                loadClass(RetrySafety.AT_MOST_ONCE, DeduplicationScope.ALL, false))
-                        .withEngines("a", "b");
+        RouterHarness router = unorderedLoads("a", "b");
         String engine = enginesOf(router.submit(1, "load", null, 100)).get(0);
         router.endAttempt(1, 0, engine, Outcome.CONNECT_FAILED, 1);
         router.advanceMs(1_000);
@@ -185,10 +191,7 @@
 
     @Test
     void queriesOfAKeyRunOneAtATimeInOrderOfSubmission() {
-        RouterHarness router =
-                RouterHarness.withClasses(
-                                loadClass(RetrySafety.AT_MOST_ONCE, DeduplicationScope.ALL, true))
-                        .withEngines("a", "b", "c");
+        RouterHarness router = orderedLoads("a", "b", "c");
         router.submit(1, "load", "k", 100);
         router.submit(2, "load", "k", 100);
         router.submit(3, "load", "other", 100);
@@ -202,10 +205,7 @@
 
     @Test
     void keyIsPausedAfterAnAttemptThatMayStillRun() {
-        RouterHarness router =
-                RouterHarness.withClasses(
-                                loadClass(RetrySafety.AT_MOST_ONCE, DeduplicationScope.ALL, true))
-                        .withEngines("a", "b", "c");
+        RouterHarness router = orderedLoads("a", "b", "c");
         router.submit(1, "load", "k", 100);
         router.submit(2, "load", "k", 100);
         router.endAttempt(1, 0, router.startedAttempts().get(0).engine(), Outcome.TIMED_OUT, 10);
@@ -217,10 +217,7 @@
 
     @Test
     void keyWaitsForTheAttemptOfADisconnectedClient() {
-        RouterHarness router =
-                RouterHarness.withClasses(
-                                loadClass(RetrySafety.AT_MOST_ONCE, DeduplicationScope.ALL, true))
-                        .withEngines("a", "b", "c");
+        RouterHarness router = orderedLoads("a", "b", "c");
         router.submit(1, "load", "k", 100);
         router.submit(2, "load", "k", 100);
         router.deliver(new ClientDisconnected(1));
--- a/loadtest/src/test/java/ashlink/loadtest/FinalAnswerTest.java
+++ b/loadtest/src/test/java/ashlink/loadtest/FinalAnswerTest.java
@@ -77,9 +77,7 @@
     void brokenResponseThatWasPartlyForwardedEndsInOneExceptionWithoutRetry(Break breakMode)
             throws Exception {
         try (TestFleet fleet = TestFleet.of("q1:typ-a", "q2:typ-a").start()) {
-            fleet.engines
-                    .values()
-                    .forEach(engine -> engine.faults().breakAt(Place.ANSWER, breakMode, 100));
+            fleet.breakAllAt(Place.ANSWER, breakMode, 100);
             NativeClient nativeClient = fleet.client("portal");
             Reply reply =
                     nativeClient.query(
@@ -124,9 +122,7 @@
     @Test
     void writeWhoseEngineFailsAfterItMayHaveRunFailsWithoutRetry() throws Exception {
         try (TestFleet fleet = TestFleet.of("q1:typ-a", "q2:typ-a").start()) {
-            fleet.engines
-                    .values()
-                    .forEach(engine -> engine.faults().breakAt(Place.RUN, Break.CLOSE, 100));
+            fleet.breakAllAt(Place.RUN, Break.CLOSE, 100);
             Reply reply = fleet.query("portal", "INSERT /* sim tag=t */ INTO a SELECT * FROM b");
             assertEquals(210, reply.code(), reply.message());
             assertEquals(1, fleet.executions("t"));
@@ -147,9 +143,7 @@
     @Test
     void writeOfAUserWithAnIdempotentClassIsExecutedOnce() throws Exception {
         try (TestFleet fleet = TestFleet.of("q1:typ-a", "q2:typ-a").start()) {
-            fleet.engines
-                    .values()
-                    .forEach(engine -> engine.faults().breakAt(Place.RUN, Break.CLOSE, 100));
+            fleet.breakAllAt(Place.RUN, Break.CLOSE, 100);
             int statementNumber = 0;
             for (String text :
                     List.of(
@@ -254,9 +248,7 @@
                             + " ms: "
                             + selectReply.message());
             fleet.engines.values().forEach(engine -> engine.hang(false));
-            fleet.engines
-                    .values()
-                    .forEach(engine -> engine.faults().breakAt(Place.QUERY, Break.SILENCE, 100));
+            fleet.breakAllAt(Place.QUERY, Break.SILENCE, 100);
             Reply insertReply =
                     fleet.client("portal")
                             .query(
--- a/loadtest/src/test/java/ashlink/loadtest/InsertTest.java
+++ b/loadtest/src/test/java/ashlink/loadtest/InsertTest.java
@@ -42,9 +42,7 @@
             names = {"QUERY", "HEADER", "INSERT"})
     void insertWhoseEngineFailsBeforeTheEndOfDataIsRetried(Place place) throws Exception {
         try (TestFleet fleet = TestFleet.of("q1:typ-a", "q2:typ-a").start()) {
-            fleet.engines
-                    .values()
-                    .forEach(engine -> engine.faults().breakAt(place, Break.CLOSE, 1));
+            fleet.breakAllAt(place, Break.CLOSE, 1);
             NativeClient nativeClient = fleet.client("portal");
             nativeClient.sendQuery("", "INSERT /* sim tag=t */ INTO t VALUES", Map.of());
             for (int i = 0; i < 4; i++) {
@@ -64,9 +62,7 @@
     @Test
     void insertWhoseEngineFailsAfterTheEndOfDataIsNotRetried() throws Exception {
         try (TestFleet fleet = TestFleet.of("q1:typ-a", "q2:typ-a").start()) {
-            fleet.engines
-                    .values()
-                    .forEach(engine -> engine.faults().breakAt(Place.RUN, Break.CLOSE, 100));
+            fleet.breakAllAt(Place.RUN, Break.CLOSE, 100);
             Reply reply =
                     fleet.client("portal")
                             .insert(
@@ -84,9 +80,7 @@
     void insertLargerThanTheBufferIsRejectedUnexecutedWhenItsEngineFails() throws Exception {
         try (TestFleet fleet =
                 TestFleet.of("q1:typ-a", "q2:typ-a").with("(bounds (held-insert 64KiB))").start()) {
-            fleet.engines
-                    .values()
-                    .forEach(engine -> engine.faults().breakAt(Place.INSERT, Break.CLOSE, 1));
+            fleet.breakAllAt(Place.INSERT, Break.CLOSE, 1);
             // More than the sockets to an engine can buffer, so that the end of the data cannot be
             // written before the engine closes the connection, however late the engine reads.
             List<Block> blocks = new ArrayList<>(Collections.nCopies(64, wideBlock(1 << 20)));
--- a/loadtest/src/test/java/ashlink/loadtest/QueryClassificationTest.java
+++ b/loadtest/src/test/java/ashlink/loadtest/QueryClassificationTest.java
@@ -67,9 +67,7 @@
     void statementThatIsNoPlainReadIsExecutedOnceWithThePlacementOfItsUsersClass(String statement)
             throws Exception {
         try (TestFleet fleet = TestFleet.of("a1:typ-a", "a2:typ-a", "b1:typ-b").start()) {
-            fleet.engines
-                    .values()
-                    .forEach(engine -> engine.faults().breakAt(Place.RUN, Break.CLOSE, 100));
+            fleet.breakAllAt(Place.RUN, Break.CLOSE, 100);
             Reply reply = fleet.query("billing", statement.replace("/*T*/", "/* sim tag=t */"));
             assertEquals(210, reply.code(), reply.message());
             assertEquals(1, fleet.executions("t"));
--- a/loadtest/src/test/java/ashlink/loadtest/TestFleet.java
+++ b/loadtest/src/test/java/ashlink/loadtest/TestFleet.java
@@ -5,6 +5,8 @@
 import ashlink.decisions.api.Settings;
 import ashlink.decisions.api.WorkloadManager;
 import ashlink.emulator.EmulatedEngine;
+import ashlink.emulator.FaultInjection.Break;
+import ashlink.emulator.FaultInjection.Place;
 import ashlink.emulator.Ledger;
 import ashlink.loadtest.client.NativeClient;
 import ashlink.loadtest.client.Reply;
@@ -103,6 +105,11 @@
         return engines.get(name);
     }
 
+    /** Makes every engine break at a place, as often as given. */
+    void breakAllAt(Place place, Break breakMode, int times) {
+        engines.values().forEach(engine -> engine.faults().breakAt(place, breakMode, times));
+    }
+
     /** Returns the ledger entries of all engines; health checks are not recorded. */
     List<Ledger.Entry> ledger() {
         List<Ledger.Entry> entries = new ArrayList<>();
