--- a/router/src/main/java/ashlink/router/frontend/NativeClientConnection.java
+++ b/router/src/main/java/ashlink/router/frontend/NativeClientConnection.java
@@ -37,7 +37,7 @@
     private final Socket socket;
     private final NativeResponseChannel client;
     private final StreamSource in;
-    private final BlockReader blocks;
+    private final DataPacketReader dataPackets;
     private final Runnable onClosed;
     private Hello.Client hello;
     private int revision;
@@ -56,7 +56,7 @@
         this.socket = socket;
         this.client = new NativeResponseChannel(socket);
         this.in = new StreamSource(socket.getInputStream(), READ_BYTES);
-        this.blocks = new BlockReader(in, context.limits());
+        this.dataPackets = new DataPacketReader(in, context.limits());
         this.onClosed = onClosed;
     }
 
@@ -202,7 +202,7 @@
     private void handleData() throws IOException, InterruptedException {
         ByteBuf packet = new ByteBuf(context.limits().packetBytes());
         boolean compressed = exchange != null && exchange.query().compressed();
-        BlockReader.Size size = readData(packet, compressed);
+        BlockReader.Size size = dataPackets.read(packet, compressed);
         InsertFeed feed = exchange == null || dataComplete ? null : exchange.feed();
         if (feed != null) {
             dataComplete = size.isEnd();
@@ -210,23 +210,17 @@
         }
     }
 
-    /** Reads the rest of a Data packet and appends the complete packet to a buffer. */
-    private BlockReader.Size readData(ByteBuf target, boolean compressed) throws IOException {
-        target.putVarUInt(ClientPacket.DATA.ordinal());
-        in.startTap(target);
-        in.readString("table", context.limits().nameBytes());
-        BlockReader.Size size = blocks.skip(compressed);
-        in.endTap();
-        return size;
-    }
-
     private void handleQuery() throws IOException, InterruptedException {
         if (exchange != null) {
             // The client sent the query early; its bytes remain in the socket buffer.
             exchange.awaitDone();
         }
         QueryPacket query = QueryPacket.read(in, revision, context.limits());
-        byte[] encodedTables = readExternalTables(query.compressed());
+        byte[] encodedTables =
+                dataPackets.readExternalTables(
+                        query.compressed(),
+                        context.config().resourceLimits().insertBufferBytes(),
+                        context.insertQuota());
         if (query.stage() != QueryPacket.COMPLETE) {
             throw new WireException(
                     WireException.Reason.MALFORMED, "unsupported query stage " + query.stage());
@@ -234,35 +228,6 @@
         submit(query, encodedTables);
     }
 
-    /** Reads the external tables of a query, up to the empty block that ends the list. */
-    private byte[] readExternalTables(boolean compressed) throws IOException {
-        ByteBuf tables =
-                new ByteBuf(
-                        context.config().resourceLimits().insertBufferBytes(),
-                        context.insertQuota());
-        try {
-            boolean hasMore = true;
-            while (hasMore) {
-                hasMore = !readExternalTable(tables, compressed);
-            }
-            return Arrays.copyOf(tables.array(), tables.size());
-        } finally {
-            // Also if the client leaves in the middle: the quota is shared with all other clients.
-            tables.release();
-        }
-    }
-
-    /** Reads an external table; returns true for the empty block that ends the list. */
-    private boolean readExternalTable(ByteBuf target, boolean compressed) throws IOException {
-        int kind = in.readByte();
-        if (ClientPacket.of(kind) != ClientPacket.DATA) {
-            throw new WireException(
-                    WireException.Reason.MALFORMED,
-                    "unexpected packet " + kind + " after a query: expected Data");
-        }
-        return readData(target, compressed).isEnd();
-    }
-
     // Statements
 
     private void submit(QueryPacket query, byte[] externalTables) {
