--- a/loadtest/src/test/java/ashlink/loadtest/MisbehavingPeersTest.java
+++ b/loadtest/src/test/java/ashlink/loadtest/MisbehavingPeersTest.java
@@ -84,11 +84,11 @@
     }
 
     /**
-     * Guards against a quota that runs out for all clients: one that left in the middle of its
-     * external tables kept what it had reserved.
+     * Guards against a quota that runs out for all clients: one that disconnected within its
+     * external tables never released what it had reserved.
      */
     @Test
-    void clientsThatLeaveInTheMiddleOfExternalTablesReleaseTheirMemory() throws Exception {
+    void clientsThatDisconnectWithinExternalTablesReleaseTheirMemory() throws Exception {
         String limits = "(bounds (held-insert 64KiB) (held-inserts 64KiB))";
         try (TestFleet fleet = TestFleet.of("q1:typ-a").with(limits).start()) {
             ByteBuf table =
@@ -99,12 +99,12 @@
                             .putString("String")
                             .putString("v".repeat(20_000));
             for (int i = 0; i < 5; i++) {
-                NativeClient leaving = fleet.client("portal");
-                queryPacket("SELECT 1").writeTo(leaving.socket().getOutputStream());
-                table.writeTo(leaving.socket().getOutputStream());
-                leaving.socket().shutdownOutput();
+                NativeClient disconnecting = fleet.client("portal");
+                queryPacket("SELECT 1").writeTo(disconnecting.socket().getOutputStream());
+                table.writeTo(disconnecting.socket().getOutputStream());
+                disconnecting.socket().shutdownOutput();
                 // The router closes the connection once it has read up to the end of the input.
-                leaving.await(List.of(), System.nanoTime() + 5 * NS_PER_SECOND);
+                disconnecting.await(List.of(), System.nanoTime() + 5 * NS_PER_SECOND);
             }
             ByteBuf end = dataPacket().putVarUInt(0).putVarUInt(0);
             Reply reply = replyAfter(fleet, queryPacket("SELECT 1"), table, end);
