--- a/router/src/main/java/ashlink/router/Router.java
+++ b/router/src/main/java/ashlink/router/Router.java
@@ -14,6 +14,7 @@
 import ashlink.router.classify.StatementAnalyzer;
 import ashlink.router.core.Core;
 import ashlink.router.core.CoreClock;
+import ashlink.router.core.DelayMonitor;
 import ashlink.router.core.PrometheusRequestMetrics;
 import ashlink.router.frontend.ListenerContext;
 import ashlink.router.frontend.MemoryQuota;
@@ -104,7 +105,8 @@
                         clock,
                         config.resourceLimits().eventQueueCapacity(),
                         config.resourceLimits().maxOpenRequests(),
-                        new PrometheusRequestMetrics(registry));
+                        new PrometheusRequestMetrics(registry),
+                        new DelayMonitor(clock::nowNs));
         ListenerContext context = listenerContext(limits);
         listener = new NativeListener(context);
         background =
--- a/router/src/main/java/ashlink/router/core/Core.java
+++ b/router/src/main/java/ashlink/router/core/Core.java
@@ -64,6 +64,7 @@
      * @param maxQueuedEvents number of queued events from which on requests are not admitted
      * @param maxOpenRequests number of requests without a final response from which on further
      *     requests are not admitted
+     * @param delays receives the times that events wait for the decision thread
      */
     public Core(
             String name,
@@ -73,13 +74,14 @@
             CoreClock clock,
             int maxQueuedEvents,
             int maxOpenRequests,
-            RequestMetrics metrics) {
+            RequestMetrics metrics,
+            DelayMonitor delays) {
         this.clock = clock;
         this.maxQueuedEvents = maxQueuedEvents;
         this.maxOpenRequests = maxOpenRequests;
         this.metrics = metrics;
         requests = new OpenRequestTable(metrics);
-        decisionThread = new DecisionThread(name + "-decisions");
+        decisionThread = new DecisionThread(name + "-decisions", delays.stage("decision"));
         metrics.registerGauges(decisionThread::queuedTasks, requests::unansweredCount);
         timer = DaemonTimer.create(name + "-timer");
         dispatcher =
--- a/router/src/main/java/ashlink/router/core/DecisionThread.java
+++ b/router/src/main/java/ashlink/router/core/DecisionThread.java
@@ -12,11 +12,15 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(DecisionThread.class);
 
-    private final LinkedBlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
+    private record QueuedTask(Runnable task, long queuedNs) {}
+
+    private final LinkedBlockingQueue<QueuedTask> tasks = new LinkedBlockingQueue<>();
+    private final DelayMonitor.Stage delays;
     private final Thread thread;
     private volatile boolean stopped;
 
-    DecisionThread(String threadName) {
+    DecisionThread(String threadName, DelayMonitor.Stage delays) {
+        this.delays = delays;
         thread = new Thread(this::run, threadName);
         thread.setDaemon(true);
     }
@@ -27,7 +31,7 @@
 
     /** Adds a task to the queue; does not block. */
     void execute(Runnable task) {
-        tasks.add(task);
+        tasks.add(new QueuedTask(task, delays.nowNs()));
     }
 
     /** Returns the number of queued tasks. */
@@ -44,7 +48,9 @@
     private void run() {
         while (!stopped) {
             try {
-                tasks.take().run();
+                QueuedTask next = tasks.take();
+                delays.recordSince(next.queuedNs());
+                next.task().run();
             } catch (InterruptedException e) {
                 return;
             } catch (RuntimeException | Error e) {
