Router: deadlines are kept on the timer, not behind the decision queue

Callers got answers up to 2.1 s late, over half a second after their time, while clients sent requests that they cancelled at once.

Cause: the timer of a deadline was set when the decision thread reached the request, and its expiry was queued for the decision thread again, behind everything that other clients had queued (decision=614 to 880 ms). So load decided when a deadline was kept.

Change: FallbackResponder sets the timer when the request is submitted, and responds on the thread of the timer; the final response of a request is claimed once, by any thread, and the decision module is told afterwards. A request whose deadline passed in the queue is not decided. Where the last part of a statement is just being written at the deadline, the response now counts it as possibly run.

--- a/router/src/main/java/ashlink/router/core/AttemptPhase.java
+++ b/router/src/main/java/ashlink/router/core/AttemptPhase.java
@@ -37,6 +37,11 @@
         return this == SENDING || this == SENDING_DATA_END;
     }
 
+    /** Returns true if the engine has the complete statement or is about to have it. */
+    boolean mayRunOrIsCompleting() {
+        return mayRun() || isCompletingStatement();
+    }
+
     /**
      * Returns false if the engine lacks a part of the statement and therefore cannot have executed
      * it.
--- a/router/src/main/java/ashlink/router/core/AttemptRunner.java
+++ b/router/src/main/java/ashlink/router/core/AttemptRunner.java
@@ -47,18 +47,17 @@
     }
 
     /**
-     * Starts an attempt. Ignores the action if the request is closed, has its final response or has
-     * an attempt in flight.
+     * Starts an attempt. Ignores the action if the request is closed or has an attempt in flight.
+     * Ends the attempt at once if the request has its final response, so that the decision module
+     * learns that the attempt is over.
      */
     void start(StartAttempt startAttempt) {
         OpenRequest openRequest = requests.get(startAttempt.id());
-        if (openRequest == null || openRequest.answered || openRequest.attempt != null) {
+        if (openRequest == null || openRequest.attempt != null) {
             LOG.error(
                     "attempt of an ineligible request ignored request={} state={}",
                     startAttempt.id(),
-                    openRequest == null
-                            ? "closed"
-                            : openRequest.answered ? "answered" : "in-flight");
+                    openRequest == null ? "closed" : "in-flight");
             return;
         }
         Attempt attempt =
@@ -71,6 +70,12 @@
                         openRequest.memoryMb,
                         (ended, end) -> onEnd(openRequest, ended, end));
         openRequest.attempt = attempt;
+        // Reads the response after it sets the attempt: a thread that claims the response at the
+        // deadline reads them in the other order, so one of the two ends the attempt.
+        if (openRequest.isAnswered()) {
+            attempt.abort(AttemptEndReason.CANCELLED);
+            return;
+        }
         attempt.setTimeout(
                 timer.schedule(
                         () -> attempt.abort(AttemptEndReason.TIMED_OUT),
@@ -105,15 +110,15 @@
         if (openRequest == null || openRequest.attempt != attempt) {
             return;
         }
-        openRequest.attempt = null;
-        openRequest.mayHaveRun |= end.outcome().mayHaveRun();
-        boolean requestOver = end.answered() || openRequest.answered;
-        if (!openRequest.answered && end.answered()) {
-            requests.markAnswered(openRequest, completion(end.reason()));
+        if (end.outcome().mayHaveRun()) {
+            openRequest.mayHaveRun = true;
         }
-        if (openRequest.answered) {
-            requests.remove(openRequest);
+        if (end.answered()) {
+            requests.tryClaimResponse(openRequest, completion(end.reason()));
         }
+        openRequest.attempt = null;
+        boolean requestOver = openRequest.isAnswered();
+        requests.removeIfDone(openRequest);
         dispatcher.accept(
                 new AttemptEnded(
                         attempt.id(),
--- a/router/src/main/java/ashlink/router/core/Core.java
+++ b/router/src/main/java/ashlink/router/core/Core.java
@@ -51,6 +51,7 @@
     private final DecisionThread decisionThread;
     private final ScheduledThreadPoolExecutor timer;
     private final OpenRequestTable requests;
+    private final FallbackResponder responder;
     private final DecisionDispatcher dispatcher;
     private final AtomicLong lastRequestId = new AtomicLong();
     private volatile boolean accepting = true;
@@ -84,16 +85,19 @@
         decisionThread = new DecisionThread(name + "-decisions", delays.stage("decision"));
         metrics.registerGauges(decisionThread::queuedTasks, requests::unansweredCount);
         timer = DaemonTimer.create(name + "-timer");
+        responder =
+                new FallbackResponder(
+                        Map.copyOf(classes), clock, timer, requests, delays.stage("deadline"));
         dispatcher =
                 new DecisionDispatcher(
                         workloadManager,
-                        Map.copyOf(classes),
                         transport,
                         clock,
                         decisionThread,
                         timer,
                         requests,
-                        metrics);
+                        metrics,
+                        responder);
     }
 
     /** Starts the decision thread. */
@@ -132,9 +136,11 @@
             return NOT_ADMITTED;
         }
         long id = lastRequestId.incrementAndGet();
-        long deadlineNs = clock.nowNs() + request.timeLimitNs();
-        decisionThread.execute(
-                () -> dispatcher.submit(new OpenRequest(id, request, sink), deadlineNs));
+        OpenRequest openRequest =
+                new OpenRequest(id, request, sink, clock.nowNs() + request.timeLimitNs());
+        responder.watchDeadline(
+                openRequest, () -> decisionThread.execute(() -> dispatcher.forget(openRequest)));
+        decisionThread.execute(() -> dispatcher.submit(openRequest));
         return id;
     }
 
--- a/router/src/main/java/ashlink/router/core/DecisionDispatcher.java
+++ b/router/src/main/java/ashlink/router/core/DecisionDispatcher.java
@@ -14,10 +14,8 @@
 import ashlink.decisions.api.Event.HealthCheckCompleted;
 import ashlink.decisions.api.Event.QuerySubmitted;
 import ashlink.decisions.api.Event.TimerFired;
-import ashlink.decisions.api.QueryClass;
 import ashlink.decisions.api.WorkloadManager;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -33,27 +31,27 @@
     private static final Logger LOG = LoggerFactory.getLogger(DecisionDispatcher.class);
 
     private final WorkloadManager workloadManager;
-    private final Map<String, QueryClass> classes;
     private final EngineTransport transport;
     private final CoreClock clock;
     private final DecisionThread thread;
     private final ScheduledThreadPoolExecutor timer;
     private final OpenRequestTable requests;
     private final RequestMetrics metrics;
+    private final FallbackResponder responder;
     private final AttemptRunner attemptRunner;
     private volatile Core.Observer observer = (event, nowNs, actions) -> {};
 
     DecisionDispatcher(
             WorkloadManager workloadManager,
-            Map<String, QueryClass> classes,
             EngineTransport transport,
             CoreClock clock,
             DecisionThread thread,
             ScheduledThreadPoolExecutor timer,
             OpenRequestTable requests,
-            RequestMetrics metrics) {
+            RequestMetrics metrics,
+            FallbackResponder responder) {
         this.workloadManager = workloadManager;
-        this.classes = classes;
+        this.responder = responder;
         this.transport = transport;
         this.clock = clock;
         this.thread = thread;
@@ -92,16 +90,17 @@
         return true;
     }
 
-    /** Adds a request to the open requests and submits it to the decision module. */
-    void submit(OpenRequest openRequest, long deadlineNs) {
+    /**
+     * Adds a request to the open requests and submits it to the decision module, unless its
+     * deadline has passed.
+     */
+    void submit(OpenRequest openRequest) {
+        if (openRequest.isAnswered()) {
+            return;
+        }
         requests.add(openRequest);
         CoreRequest request = openRequest.request;
         metrics.onAdmitted(request.queryClass());
-        openRequest.deadlineTimer =
-                timer.schedule(
-                        () -> thread.execute(() -> onDeadline(openRequest)),
-                        deadlineNs - clock.nowNs(),
-                        TimeUnit.NANOSECONDS);
         boolean dispatched =
                 dispatch(
                         new QuerySubmitted(
@@ -109,75 +108,51 @@
                                 request.queryClass(),
                                 request.key(),
                                 request.tableGroup(),
-                                deadlineNs,
+                                openRequest.deadlineNs,
                                 request.estimatedWorkNs(),
                                 request.estimatedMemoryMb(),
                                 request.tenant()));
-        if (!dispatched && !openRequest.answered) {
-            respondWithFallback(openRequest, RequestCompletion.DECISION_ERROR);
+        if (!dispatched) {
+            respond(openRequest, AttemptEndReason.CANCELLED, RequestCompletion.DECISION_ERROR);
         }
     }
 
     /** Handles a client that disconnected or cancelled its request. */
     void clientDisconnected(long id) {
-        OpenRequest openRequest = requests.unanswered(id);
-        if (openRequest != null) {
-            requests.markAnswered(openRequest, RequestCompletion.CLIENT_DISCONNECTED);
-            dispatch(new ClientDisconnected(id));
+        OpenRequest openRequest = requests.get(id);
+        if (openRequest != null
+                && requests.tryClaimResponse(openRequest, RequestCompletion.CLIENT_DISCONNECTED)) {
+            forget(openRequest);
         }
     }
 
     /**
-     * Aborts all attempts, and sends a final response for each request whose response has not
-     * begun.
+     * Tells the decision module that nobody waits for a request any more. Has no effect if the
+     * request was not submitted to it or is over.
      */
-    void respondToAll() {
-        for (OpenRequest openRequest : requests.snapshot()) {
-            if (!openRequest.answered) {
-                if (openRequest.attempt != null) {
-                    openRequest.attempt.abort(AttemptEndReason.CANCELLED);
-                }
-                if (!openRequest.isResponding()) {
-                    respondWithFallback(openRequest, RequestCompletion.SHUTDOWN);
-                }
-            }
+    void forget(OpenRequest openRequest) {
+        if (requests.get(openRequest.id) == openRequest) {
+            dispatch(new ClientDisconnected(openRequest.id));
+            requests.removeIfDone(openRequest);
         }
     }
 
     /**
-     * Sends a fallback response for a request without a final response at its deadline, so that the
-     * client always receives one before it gives up.
+     * Aborts all attempts, and sends a final response for each request whose response has not
+     * begun.
      */
-    private void onDeadline(OpenRequest openRequest) {
-        if (openRequest.answered) {
-            return;
-        }
-        if (openRequest.attempt != null) {
-            openRequest.attempt.abort(AttemptEndReason.TIMED_OUT);
-            if (openRequest.isResponding()) {
-                // The end of the attempt is already queued and completes the request.
-                return;
-            }
+    void respondToAll() {
+        for (OpenRequest openRequest : requests.snapshot()) {
+            respond(openRequest, AttemptEndReason.CANCELLED, RequestCompletion.SHUTDOWN);
         }
-        LOG.error(
-                "deadline exceeded without a response request={} class={}",
-                openRequest.id,
-                openRequest.request.queryClass());
-        respondWithFallback(openRequest, RequestCompletion.DEADLINE_EXCEEDED);
     }
 
-    private void respondWithFallback(OpenRequest openRequest, RequestCompletion completion) {
-        boolean mayHaveRun =
-                openRequest.mayHaveRun
-                        || openRequest.attempt != null && openRequest.attempt.phase().mayRun();
-        requests.markAnswered(openRequest, completion);
-        QueryClass queryClass = classes.get(openRequest.request.queryClass());
-        if (FallbackResponse.mayReject(queryClass, mayHaveRun)) {
-            openRequest.sink.reject(0);
-        } else {
-            openRequest.sink.fail();
+    private void respond(
+            OpenRequest openRequest, AttemptEndReason reason, RequestCompletion completion) {
+        if (requests.tryClaimResponse(openRequest, completion)) {
+            responder.abortAndRespond(openRequest, reason);
+            forget(openRequest);
         }
-        dispatch(new ClientDisconnected(openRequest.id));
     }
 
     // Actions
@@ -211,18 +186,20 @@
     }
 
     private void reject(Reject reject) {
-        OpenRequest openRequest = requests.unanswered(reject.id());
-        if (openRequest != null) {
-            requests.markAnswered(openRequest, RequestCompletion.REJECTED);
+        OpenRequest openRequest = requests.get(reject.id());
+        if (openRequest != null
+                && requests.tryClaimResponse(openRequest, RequestCompletion.REJECTED)) {
             openRequest.sink.reject(reject.retryAfterNs());
+            requests.removeIfDone(openRequest);
         }
     }
 
     private void fail(Fail fail) {
-        OpenRequest openRequest = requests.unanswered(fail.id());
-        if (openRequest != null) {
-            requests.markAnswered(openRequest, RequestCompletion.FAILED);
+        OpenRequest openRequest = requests.get(fail.id());
+        if (openRequest != null
+                && requests.tryClaimResponse(openRequest, RequestCompletion.FAILED)) {
             openRequest.sink.fail();
+            requests.removeIfDone(openRequest);
         }
     }
 
--- a/router/src/main/java/ashlink/router/core/OpenRequest.java
+++ b/router/src/main/java/ashlink/router/core/OpenRequest.java
@@ -1,10 +1,11 @@
 package ashlink.router.core;
 
 import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
- * A request that has no final response or still has an attempt in flight. Only the decision thread
- * reads and writes the mutable fields.
+ * A request that has no final response or still has an attempt in flight. The final response is
+ * claimed once, by any thread; the other mutable fields are written by the decision thread only.
  */
 final class OpenRequest {
 
@@ -12,35 +13,71 @@
     final CoreRequest request;
     final ResponseSink sink;
 
+    /** Deadline of the client, on the clock of the core. */
+    final long deadlineNs;
+
     /** Attempt in flight, or null. */
-    Attempt attempt;
+    volatile Attempt attempt;
+
+    /**
+     * Whether an engine may have executed the statement in an attempt that has ended. Written
+     * before the attempt is removed, so that a thread that reads the attempt first misses neither.
+     */
+    volatile boolean mayHaveRun;
 
     /** Number of attempts started so far. */
     int startedAttempts;
 
-    /** Whether the request has its final response. */
-    boolean answered;
-
-    /** Whether an engine may have executed the statement in an attempt that has ended. */
-    boolean mayHaveRun;
-
     /** Priority of the next attempt on its engine, -1 if the decision module set none. */
     int priority = -1;
 
     /** Memory granted to the next attempt in MB, 0 if the decision module set none. */
     long memoryMb;
 
-    /** Timer task that runs at the deadline of the client. */
-    Future<?> deadlineTimer;
+    private final AtomicBoolean answered = new AtomicBoolean();
+    private volatile Future<?> deadlineTimer;
 
-    OpenRequest(long id, CoreRequest request, ResponseSink sink) {
+    OpenRequest(long id, CoreRequest request, ResponseSink sink, long deadlineNs) {
         this.id = id;
         this.request = request;
         this.sink = sink;
+        this.deadlineNs = deadlineNs;
+    }
+
+    /** Sets the timer task that runs at the deadline of the client. */
+    void setDeadlineTimer(Future<?> timer) {
+        deadlineTimer = timer;
+        if (isAnswered()) {
+            timer.cancel(false);
+        }
+    }
+
+    /** Returns whether the final response of the request is claimed. */
+    boolean isAnswered() {
+        return answered.get();
+    }
+
+    /**
+     * Claims the final response. Returns true on the first call; the caller then responds, unless
+     * the client is gone or an attempt responds.
+     */
+    boolean tryClaimResponse() {
+        if (!answered.compareAndSet(false, true)) {
+            return false;
+        }
+        Future<?> timer = deadlineTimer;
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        return true;
     }
 
-    /** Returns true if the attempt in flight has started to write its response to the client. */
-    boolean isResponding() {
-        return attempt != null && attempt.phase() == AttemptPhase.ANSWERING;
+    /**
+     * Returns whether an engine may have executed the statement. Also returns true while the part
+     * of the statement is being written after which the engine may execute it.
+     */
+    boolean mayHaveRunOrRuns() {
+        Attempt current = attempt;
+        return current != null && current.phase().mayRunOrIsCompleting() || mayHaveRun;
     }
 }
--- a/router/src/main/java/ashlink/router/core/OpenRequestTable.java
+++ b/router/src/main/java/ashlink/router/core/OpenRequestTable.java
@@ -8,7 +8,7 @@
 
 /**
  * The open requests, by number. Only the decision thread uses the table; any thread may reserve a
- * place and read the count of requests without a final response.
+ * place, claim the final response of a request, and read the count of requests without one.
  */
 final class OpenRequestTable {
 
@@ -39,6 +39,19 @@
         return unansweredCount.get();
     }
 
+    /**
+     * Claims the final response of a request and records it. Returns false, without any effect, if
+     * the response is claimed already.
+     */
+    boolean tryClaimResponse(OpenRequest openRequest, RequestCompletion completion) {
+        if (!openRequest.tryClaimResponse()) {
+            return false;
+        }
+        unansweredCount.decrementAndGet();
+        metrics.onCompleted(openRequest.request.queryClass(), completion);
+        return true;
+    }
+
     // Called on the decision thread
 
     /** Adds a request that {@link #tryReserve} has counted. */
@@ -51,35 +64,15 @@
         return requests.get(id);
     }
 
-    /**
-     * Returns the request of the given number, or null if it is not open or has its final response.
-     */
-    OpenRequest unanswered(long id) {
-        OpenRequest openRequest = requests.get(id);
-        return openRequest == null || openRequest.answered ? null : openRequest;
-    }
-
     /** Returns a copy of the list of open requests. */
     List<OpenRequest> snapshot() {
         return new ArrayList<>(requests.values());
     }
 
-    /**
-     * Records the final response of a request, and removes the request unless an attempt is in
-     * flight.
-     */
-    void markAnswered(OpenRequest openRequest, RequestCompletion completion) {
-        openRequest.answered = true;
-        openRequest.deadlineTimer.cancel(false);
-        unansweredCount.decrementAndGet();
-        metrics.onCompleted(openRequest.request.queryClass(), completion);
-        if (openRequest.attempt == null) {
-            remove(openRequest);
+    /** Removes a request if it has its final response and no attempt in flight. */
+    void removeIfDone(OpenRequest openRequest) {
+        if (openRequest.isAnswered() && openRequest.attempt == null) {
+            requests.remove(openRequest.id);
         }
     }
-
-    /** Removes a request that has its final response and no attempt in flight. */
-    void remove(OpenRequest openRequest) {
-        requests.remove(openRequest.id);
-    }
 }
