Router: clients take turns at the decision thread; a cancelled submission costs it nothing

Cause: one queue of 20,000 events for all clients. Each cancelled request put two events in it, both of which the decision module had to handle; the queue was full, so that other clients' requests were not admitted, and theirs waited 0.5 to 0.9 s (DelayMonitor: decision).

Change: submissions wait in a queue of their source, and the sources take turns (DecisionQueue); what follows from earlier decisions comes first, with a turn for submissions at least each 17th time. A request that is cancelled, left or overdue before its turn is taken from the queue and never reaches the decision module. Of the open requests, half may be taken by anybody, the other half is shared out equally by the number of sources (AdmissionLimits), so that all other connections together leave a share for the last. Class: a queue shared by all peers, where what one of them puts in decides how long others wait.

--- a/router/src/main/java/ashlink/router/Router.java
+++ b/router/src/main/java/ashlink/router/Router.java
@@ -12,6 +12,7 @@
 import ashlink.decisions.api.WorkloadManager;
 import ashlink.router.classify.Classifier;
 import ashlink.router.classify.StatementAnalyzer;
+import ashlink.router.core.AdmissionLimits;
 import ashlink.router.core.Core;
 import ashlink.router.core.CoreClock;
 import ashlink.router.core.DelayMonitor;
@@ -103,8 +104,10 @@
                         config.allQueryClasses(),
                         engines,
                         clock,
-                        config.resourceLimits().eventQueueCapacity(),
-                        config.resourceLimits().maxOpenRequests(),
+                        new AdmissionLimits(
+                                config.resourceLimits().eventQueueCapacity(),
+                                config.resourceLimits().maxOpenRequests(),
+                                config.resourceLimits().maxClientConnections()),
                         new PrometheusRequestMetrics(registry),
                         new DelayMonitor(clock::nowNs));
         ListenerContext context = listenerContext(limits);
--- a/router/src/main/java/ashlink/router/core/Core.java
+++ b/router/src/main/java/ashlink/router/core/Core.java
@@ -17,10 +17,9 @@
  * DecisionDispatcher} performs the actions of the decision module. Only {@link #drain} blocks; all
  * methods may be called on any thread.
  *
- * <p>Admission bounds the queue: a request is admitted only while fewer than {@code
- * maxQueuedEvents} events are queued and fewer than {@code maxOpenRequests} requests have no final
- * response. A request has at most one attempt in flight and an engine has at most one health check
- * in flight, so each of them adds a fixed number of further events.
+ * <p>Admission bounds the queue ({@link AdmissionLimits}). A request has at most one attempt in
+ * flight and an engine has at most one health check in flight, so each of them adds a fixed number
+ * of further events.
  */
 public final class Core {
 
@@ -45,8 +44,7 @@
     }
 
     private final CoreClock clock;
-    private final int maxQueuedEvents;
-    private final int maxOpenRequests;
+    private final AdmissionLimits limits;
     private final RequestMetrics metrics;
     private final DecisionThread decisionThread;
     private final ScheduledThreadPoolExecutor timer;
@@ -62,9 +60,6 @@
      *
      * @param name prefix of the thread names
      * @param classes query classes of the settings, by name
-     * @param maxQueuedEvents number of queued events from which on requests are not admitted
-     * @param maxOpenRequests number of requests without a final response from which on further
-     *     requests are not admitted
      * @param delays receives the times that events wait for the decision thread
      */
     public Core(
@@ -73,13 +68,11 @@
             Map<String, QueryClass> classes,
             EngineTransport transport,
             CoreClock clock,
-            int maxQueuedEvents,
-            int maxOpenRequests,
+            AdmissionLimits limits,
             RequestMetrics metrics,
             DelayMonitor delays) {
         this.clock = clock;
-        this.maxQueuedEvents = maxQueuedEvents;
-        this.maxOpenRequests = maxOpenRequests;
+        this.limits = limits;
         this.metrics = metrics;
         requests = new OpenRequestTable(metrics);
         decisionThread = new DecisionThread(name + "-decisions", delays.stage("decision"));
@@ -120,36 +113,66 @@
         return requests.unansweredCount();
     }
 
+    /**
+     * Submits a request of a source of its own.
+     *
+     * @see #submit(RequestSource, CoreRequest, ResponseSink)
+     */
+    public long submit(CoreRequest request, ResponseSink sink) {
+        return submit(new RequestSource(), request, sink);
+    }
+
     /**
      * Submits a request. If the request is admitted, the sink receives exactly one final response,
      * unless the client disconnects.
      *
+     * @param source the peer that submits the request
      * @return the number of the request, or a negative number if the request was not admitted; the
      *     caller then rejects the request
      */
-    public long submit(CoreRequest request, ResponseSink sink) {
+    public long submit(RequestSource source, CoreRequest request, ResponseSink sink) {
         if (!accepting
                 || rejectingNew
-                || decisionThread.queuedTasks() >= maxQueuedEvents
-                || !requests.tryReserve(maxOpenRequests)) {
+                || isQueueFull() && source.unansweredCount() > 0
+                || !requests.tryReserve(source, limits)) {
             metrics.onCompleted(request.queryClass(), RequestCompletion.NOT_ADMITTED);
             return NOT_ADMITTED;
         }
         long id = lastRequestId.incrementAndGet();
         OpenRequest openRequest =
-                new OpenRequest(id, request, sink, clock.nowNs() + request.timeLimitNs());
-        responder.watchDeadline(
-                openRequest, () -> decisionThread.execute(() -> dispatcher.forget(openRequest)));
-        decisionThread.execute(() -> dispatcher.submit(openRequest));
+                new OpenRequest(id, source, request, sink, clock.nowNs() + request.timeLimitNs());
+        requests.add(openRequest);
+        openRequest.submission =
+                decisionThread.submit(source, () -> dispatcher.submit(openRequest));
+        responder.watchDeadline(openRequest, () -> withdraw(openRequest));
         return id;
     }
 
     /**
-     * Handles a client that disconnected or cancelled its request. The sink receives no final
-     * response after the decision thread has processed the call.
+     * Handles a client that disconnected or cancelled its request. A request that was not decided
+     * yet costs the decision thread nothing. After this call, the sink receives no final response
+     * but one that is just being sent.
      */
     public void clientDisconnected(long id) {
-        decisionThread.execute(() -> dispatcher.clientDisconnected(id));
+        OpenRequest openRequest = requests.get(id);
+        if (openRequest != null
+                && requests.tryClaimResponse(openRequest, RequestCompletion.CLIENT_DISCONNECTED)) {
+            withdraw(openRequest);
+        }
+    }
+
+    private boolean isQueueFull() {
+        return decisionThread.queuedTasks() >= limits.maxQueuedEvents();
+    }
+
+    /** Takes a request that has its final response from the queue or the decision module. */
+    private void withdraw(OpenRequest openRequest) {
+        QueuedTask submission = openRequest.submission;
+        if (submission != null && decisionThread.withdraw(openRequest.source, submission)) {
+            requests.remove(openRequest);
+        } else {
+            decisionThread.execute(() -> dispatcher.forget(openRequest));
+        }
     }
 
     /** Passes a change of the endpoint list to the decision module. */
--- a/router/src/main/java/ashlink/router/core/DecisionDispatcher.java
+++ b/router/src/main/java/ashlink/router/core/DecisionDispatcher.java
@@ -91,14 +91,14 @@
     }
 
     /**
-     * Adds a request to the open requests and submits it to the decision module, unless its
-     * deadline has passed.
+     * Submits a request to the decision module, unless its deadline has passed or its client is
+     * gone.
      */
     void submit(OpenRequest openRequest) {
         if (openRequest.isAnswered()) {
+            requests.remove(openRequest);
             return;
         }
-        requests.add(openRequest);
         CoreRequest request = openRequest.request;
         metrics.onAdmitted(request.queryClass());
         boolean dispatched =
@@ -117,15 +117,6 @@
         }
     }
 
-    /** Handles a client that disconnected or cancelled its request. */
-    void clientDisconnected(long id) {
-        OpenRequest openRequest = requests.get(id);
-        if (openRequest != null
-                && requests.tryClaimResponse(openRequest, RequestCompletion.CLIENT_DISCONNECTED)) {
-            forget(openRequest);
-        }
-    }
-
     /**
      * Tells the decision module that nobody waits for a request any more. Has no effect if the
      * request was not submitted to it or is over.
--- a/router/src/main/java/ashlink/router/core/DecisionThread.java
+++ b/router/src/main/java/ashlink/router/core/DecisionThread.java
@@ -1,20 +1,17 @@
 package ashlink.router.core;
 
-import java.util.concurrent.LinkedBlockingQueue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * The only thread that calls the decision module. It runs tasks in the order in which they were
- * added. The admission control in {@link Core#submit} bounds the queue.
+ * The only thread that calls the decision module. It runs tasks in the order of the {@link
+ * DecisionQueue}. The admission control in {@link Core#submit} bounds the queue.
  */
 final class DecisionThread {
 
     private static final Logger LOG = LoggerFactory.getLogger(DecisionThread.class);
 
-    private record QueuedTask(Runnable task, long queuedNs) {}
-
-    private final LinkedBlockingQueue<QueuedTask> tasks = new LinkedBlockingQueue<>();
+    private final DecisionQueue queue = new DecisionQueue();
     private final DelayMonitor.Stage delays;
     private final Thread thread;
     private volatile boolean stopped;
@@ -29,14 +26,26 @@
         thread.start();
     }
 
-    /** Adds a task to the queue; does not block. */
-    void execute(Runnable task) {
-        tasks.add(new QueuedTask(task, delays.nowNs()));
+    /** Adds an event to the queue; does not block. */
+    void execute(Runnable event) {
+        queue.addEvent(new QueuedTask(event, delays.nowNs()));
+    }
+
+    /** Adds a submission to the queue; does not block. */
+    QueuedTask submit(RequestSource source, Runnable submission) {
+        QueuedTask task = new QueuedTask(submission, delays.nowNs());
+        queue.addSubmission(source, task);
+        return task;
+    }
+
+    /** Removes a submission from the queue. Returns false if its turn has come. */
+    boolean withdraw(RequestSource source, QueuedTask submission) {
+        return queue.removeSubmission(source, submission);
     }
 
     /** Returns the number of queued tasks. */
     int queuedTasks() {
-        return tasks.size();
+        return queue.size();
     }
 
     /** Stops the thread; queued tasks are not run. */
@@ -48,7 +57,7 @@
     private void run() {
         while (!stopped) {
             try {
-                QueuedTask next = tasks.take();
+                QueuedTask next = queue.take();
                 delays.recordSince(next.queuedNs());
                 next.task().run();
             } catch (InterruptedException e) {
--- a/router/src/main/java/ashlink/router/core/OpenRequest.java
+++ b/router/src/main/java/ashlink/router/core/OpenRequest.java
@@ -10,6 +10,7 @@
 final class OpenRequest {
 
     final long id;
+    final RequestSource source;
     final CoreRequest request;
     final ResponseSink sink;
 
@@ -34,11 +35,20 @@
     /** Memory granted to the next attempt in MB, 0 if the decision module set none. */
     long memoryMb;
 
+    /** The submission that waits for the decision thread, or null before it is queued. */
+    volatile QueuedTask submission;
+
     private final AtomicBoolean answered = new AtomicBoolean();
     private volatile Future<?> deadlineTimer;
 
-    OpenRequest(long id, CoreRequest request, ResponseSink sink, long deadlineNs) {
+    OpenRequest(
+            long id,
+            RequestSource source,
+            CoreRequest request,
+            ResponseSink sink,
+            long deadlineNs) {
         this.id = id;
+        this.source = source;
         this.request = request;
         this.sink = sink;
         this.deadlineNs = deadlineNs;
--- a/router/src/main/java/ashlink/router/core/OpenRequestTable.java
+++ b/router/src/main/java/ashlink/router/core/OpenRequestTable.java
@@ -1,18 +1,18 @@
 package ashlink.router.core;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * The open requests, by number. Only the decision thread uses the table; any thread may reserve a
- * place, claim the final response of a request, and read the count of requests without one.
+ * The open requests, by number. Thread-safe, but for the methods that only the decision thread
+ * calls.
  */
 final class OpenRequestTable {
 
-    private final Map<Long, OpenRequest> requests = new HashMap<>();
+    private final Map<Long, OpenRequest> requests = new ConcurrentHashMap<>();
     private final AtomicInteger unansweredCount = new AtomicInteger();
     private final RequestMetrics metrics;
 
@@ -20,17 +20,17 @@
         this.metrics = metrics;
     }
 
-    // Called on any thread
-
     /**
-     * Increments the count of requests without a final response; returns false, and leaves the
-     * count unchanged, if the limit is reached.
+     * Counts a request without a final response. Returns false, without any effect, if the limits
+     * do not admit a further one of its source.
      */
-    boolean tryReserve(int limit) {
-        if (unansweredCount.incrementAndGet() > limit) {
+    boolean tryReserve(RequestSource source, AdmissionLimits limits) {
+        int openRequests = unansweredCount.getAndIncrement();
+        if (!limits.mayOpen(openRequests, source.unansweredCount())) {
             unansweredCount.decrementAndGet();
             return false;
         }
+        source.addUnanswered(1);
         return true;
     }
 
@@ -48,12 +48,11 @@
             return false;
         }
         unansweredCount.decrementAndGet();
+        openRequest.source.addUnanswered(-1);
         metrics.onCompleted(openRequest.request.queryClass(), completion);
         return true;
     }
 
-    // Called on the decision thread
-
     /** Adds a request that {@link #tryReserve} has counted. */
     void add(OpenRequest openRequest) {
         requests.put(openRequest.id, openRequest);
@@ -64,6 +63,13 @@
         return requests.get(id);
     }
 
+    /** Removes a request that was not decided. */
+    void remove(OpenRequest openRequest) {
+        requests.remove(openRequest.id);
+    }
+
+    // Called on the decision thread
+
     /** Returns a copy of the list of open requests. */
     List<OpenRequest> snapshot() {
         return new ArrayList<>(requests.values());
