--- a/router/src/main/java/ashlink/router/core/Core.java
+++ b/router/src/main/java/ashlink/router/core/Core.java
@@ -177,7 +177,23 @@
 
     /** Passes a change of the endpoint list to the decision module. */
     public void updateEndpoints(EndpointsChanged change) {
-        decisionThread.execute(() -> dispatcher.dispatch(change));
+        updateEndpoints(change, () -> {});
+    }
+
+    /**
+     * Passes a change of the endpoint list to the decision module.
+     *
+     * @param onApplied runs on the decision thread when the change is applied, and must not block
+     */
+    public void updateEndpoints(EndpointsChanged change, Runnable onApplied) {
+        decisionThread.execute(
+                () -> {
+                    try {
+                        dispatcher.dispatch(change);
+                    } finally {
+                        onApplied.run();
+                    }
+                });
     }
 
     // Shutdown
