--- a/router/src/main/java/ashlink/router/core/DecisionQueue.java
+++ b/router/src/main/java/ashlink/router/core/DecisionQueue.java
@@ -1,6 +1,8 @@
 package ashlink.router.core;
 
 import java.util.ArrayDeque;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 
 /**
  * The tasks that wait for the decision thread. Events, which follow from requests that were decided
@@ -17,7 +19,7 @@
     private final ArrayDeque<QueuedTask> events = new ArrayDeque<>();
 
     /** The sources with waiting submissions, in the order of their turns. */
-    private final ArrayDeque<RequestSource> turns = new ArrayDeque<>();
+    private final LinkedHashSet<RequestSource> turns = new LinkedHashSet<>();
 
     private int consecutiveEvents;
     private int submissions;
@@ -30,10 +32,8 @@
 
     /** Adds a submission. */
     synchronized void addSubmission(RequestSource source, QueuedTask submission) {
-        if (source.waiting.isEmpty()) {
-            turns.add(source);
-        }
         source.waiting.add(submission);
+        turns.add(source);
         submissions++;
         notifyAll();
     }
@@ -71,7 +71,9 @@
     }
 
     private QueuedTask takeSubmission() {
-        RequestSource source = turns.remove();
+        Iterator<RequestSource> next = turns.iterator();
+        RequestSource source = next.next();
+        next.remove();
         QueuedTask submission = source.waiting.remove();
         submissions--;
         if (!source.waiting.isEmpty()) {
--- a/router/src/test/java/ashlink/router/core/AdmissionLimitsTest.java
+++ b/router/src/test/java/ashlink/router/core/AdmissionLimitsTest.java
@@ -5,6 +5,7 @@
 
 import org.junit.jupiter.api.Test;
 
+/** Tests that sources leave places of open requests for others. */
 class AdmissionLimitsTest {
 
     private static final int SOURCES = 100;
--- a/router/src/test/java/ashlink/router/core/DecisionQueueTest.java
+++ b/router/src/test/java/ashlink/router/core/DecisionQueueTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
+/** Tests the order of tasks at the decision thread. */
 @Timeout(30)
 class DecisionQueueTest {
 
--- a/router/src/test/java/ashlink/router/core/DelayMonitorTest.java
+++ b/router/src/test/java/ashlink/router/core/DelayMonitorTest.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 
+/** Tests what is logged of delays. */
 class DelayMonitorTest {
 
     private final AtomicLong clockNs = new AtomicLong();
