--- a/router/src/main/java/ashlink/router/core/Core.java
+++ b/router/src/main/java/ashlink/router/core/Core.java
@@ -154,9 +154,9 @@
      * but one that is just being sent.
      */
     public void clientDisconnected(long id) {
-        OpenRequest openRequest = requests.get(id);
-        if (openRequest != null
-                && requests.tryClaimResponse(openRequest, RequestCompletion.CLIENT_DISCONNECTED)) {
+        OpenRequest openRequest =
+                requests.tryClaimResponse(id, RequestCompletion.CLIENT_DISCONNECTED);
+        if (openRequest != null) {
             withdraw(openRequest);
         }
     }
@@ -169,7 +169,7 @@
     private void withdraw(OpenRequest openRequest) {
         QueuedTask submission = openRequest.submission;
         if (submission != null && decisionThread.withdraw(openRequest.source, submission)) {
-            requests.remove(openRequest);
+            requests.removeIfDone(openRequest);
         } else {
             decisionThread.execute(() -> dispatcher.forget(openRequest));
         }
--- a/router/src/main/java/ashlink/router/core/DecisionDispatcher.java
+++ b/router/src/main/java/ashlink/router/core/DecisionDispatcher.java
@@ -96,7 +96,7 @@
      */
     void submit(OpenRequest openRequest) {
         if (openRequest.isAnswered()) {
-            requests.remove(openRequest);
+            requests.removeIfDone(openRequest);
             return;
         }
         CoreRequest request = openRequest.request;
@@ -177,18 +177,17 @@
     }
 
     private void reject(Reject reject) {
-        OpenRequest openRequest = requests.get(reject.id());
-        if (openRequest != null
-                && requests.tryClaimResponse(openRequest, RequestCompletion.REJECTED)) {
+        OpenRequest openRequest =
+                requests.tryClaimResponse(reject.id(), RequestCompletion.REJECTED);
+        if (openRequest != null) {
             openRequest.sink.reject(reject.retryAfterNs());
             requests.removeIfDone(openRequest);
         }
     }
 
     private void fail(Fail fail) {
-        OpenRequest openRequest = requests.get(fail.id());
-        if (openRequest != null
-                && requests.tryClaimResponse(openRequest, RequestCompletion.FAILED)) {
+        OpenRequest openRequest = requests.tryClaimResponse(fail.id(), RequestCompletion.FAILED);
+        if (openRequest != null) {
             openRequest.sink.fail();
             requests.removeIfDone(openRequest);
         }
--- a/router/src/main/java/ashlink/router/core/OpenRequestTable.java
+++ b/router/src/main/java/ashlink/router/core/OpenRequestTable.java
@@ -53,6 +53,17 @@
         return true;
     }
 
+    /**
+     * Claims the final response of the request with the given number. Returns null if it is not
+     * open or its response is claimed already.
+     */
+    OpenRequest tryClaimResponse(long id, RequestCompletion completion) {
+        OpenRequest openRequest = requests.get(id);
+        return openRequest != null && tryClaimResponse(openRequest, completion)
+                ? openRequest
+                : null;
+    }
+
     /** Adds a request that {@link #tryReserve} has counted. */
     void add(OpenRequest openRequest) {
         requests.put(openRequest.id, openRequest);
@@ -63,11 +74,6 @@
         return requests.get(id);
     }
 
-    /** Removes a request that was not decided. */
-    void remove(OpenRequest openRequest) {
-        requests.remove(openRequest.id);
-    }
-
     // Called on the decision thread
 
     /** Returns a copy of the list of open requests. */
