--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -10,7 +10,13 @@
 fi
 CASE_TMP=$(mktemp -d) || exit 2
 export CASE_TMP
-java -Xmx1g -cp "$here/target" "$2" &
+# Under nohup SIGHUP would be ignored by all that is started here, the router too.
+if env --default-signal=HUP true 2>/dev/null; then
+    reset_signals="env --default-signal=HUP"
+else
+    reset_signals=
+fi
+$reset_signals java -Xmx1g -cp "$here/target" "$2" &
 case_pid=$!
 # SIGTERM makes the case end the router that it started. The case itself ends after 115 s at the latest.
 trap 'kill "$case_pid" 2>/dev/null' INT TERM
--- a/review/standins-2/src/Rig.java
+++ b/review/standins-2/src/Rig.java
@@ -236,10 +236,14 @@
             new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
         }
 
+        boolean hasLogged(String text) throws IOException {
+            return Files.readString(temp.resolve(name + ".log")).contains(text);
+        }
+
         /** Writes the lines of the router's log that tell of trouble to the record. */
         void logOutput() throws IOException {
             for (String line : Files.readAllLines(temp.resolve(name + ".log"))) {
-                if (line.contains("ERROR") || line.contains("overloaded")) {
+                if (line.contains("ERROR") || line.contains("overloaded") || line.contains("Exception")) {
                     log("router-log", "line", line);
                 }
             }
