Decisions: engines of table groups are remembered up to a limit

Need: a list of engines was kept for each group that clients name, until the list of engines changes.

--- a/decisions/src/test/java/ashlink/decisions/TableGroupPlacementTest.java
+++ b/decisions/src/test/java/ashlink/decisions/TableGroupPlacementTest.java
@@ -50,6 +50,29 @@
         assertTrue(lockingEngines.isEmpty());
     }
 
+    /** Guards against a list of engines for each of the groups that clients name. */
+    @Test
+    void groupsWithoutAnEndTakeBoundedMemoryAndKeepTheirEngines() {
+        TableGroupPlacement placement = new TableGroupPlacement(engines, List.of(LOAD, REPORT));
+        List<List<EngineState>> first = new ArrayList<>();
+        for (int round = 0; round < 2; round++) {
+            for (int group = 0; group < TableGroupPlacement.MAX_CACHED_ENGINES; group++) {
+                List<EngineState> candidates = new ArrayList<>(engines.all());
+                placement.filter(queryOfGroup(group), candidates);
+                assertTrue(placement.cachedEngines() <= TableGroupPlacement.MAX_CACHED_ENGINES);
+                if (round == 0) {
+                    first.add(candidates);
+                } else {
+                    assertEquals(first.get(group), candidates);
+                }
+            }
+        }
+    }
+
+    private static QueryState queryOfGroup(long tableGroup) {
+        return TestStates.queryOfGroup(LOAD, tableGroup);
+    }
+
     @Test
     void otherClassesRunAnywhere() {
         assertEquals(4, filtered(List.of(LOAD, REPORT, LOOKUP), LOOKUP).size());
--- a/decisions/src/test/java/ashlink/decisions/TestStates.java
+++ b/decisions/src/test/java/ashlink/decisions/TestStates.java
@@ -45,9 +45,32 @@
                 NOW_NS);
     }
 
+    /** Returns the same query for another table group. */
+    static QueryState queryOfGroup(QueryClass queryClass, long tableGroup) {
+        return new QueryState(
+                submitted(1, queryClass.name(), null, tableGroup),
+                new QueryClassStatistics(queryClass),
+                null,
+                1,
+                ESTIMATE_MS,
+                queryClass.priorityWeight(),
+                NOW_NS);
+    }
+
     static QuerySubmitted submitted(long id, String queryClass, String key) {
+        return submitted(id, queryClass, key, 1);
+    }
+
+    private static QuerySubmitted submitted(
+            long id, String queryClass, String key, long tableGroup) {
         return new QuerySubmitted(
-                id, queryClass, key, 1, NOW_NS + 20_000 * MS, (long) (ESTIMATE_MS * MS), 100);
+                id,
+                queryClass,
+                key,
+                tableGroup,
+                NOW_NS + 20_000 * MS,
+                (long) (ESTIMATE_MS * MS),
+                100);
     }
 
     /** Returns a ready engine with four cores and 8,000 MB, without load. */
