Router: no error ends a thread or a timer that all requests need

A timer whose event failed fires again 100 ms later.

Evidence: aTimerWhoseEventFailedFiresAgain timed out before.

--- a/router/src/main/java/ashlink/router/core/DecisionDispatcher.java
+++ b/router/src/main/java/ashlink/router/core/DecisionDispatcher.java
@@ -30,6 +30,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(DecisionDispatcher.class);
 
+    private static final long TIMER_RETRY_NS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private final WorkloadManager workloadManager;
     private final EngineTransport transport;
     private final CoreClock clock;
@@ -209,9 +211,25 @@
     }
 
     private void setTimer(SetTimer setTimer) {
-        timer.schedule(
-                () -> thread.execute(() -> dispatch(new TimerFired(setTimer.label()))),
-                setTimer.timeNs() - clock.nowNs(),
-                TimeUnit.NANOSECONDS);
+        schedule(setTimer.label(), setTimer.timeNs() - clock.nowNs());
+    }
+
+    private void schedule(long label, long delayNs) {
+        timer.schedule(() -> thread.execute(() -> fireTimer(label)), delayNs, TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * Tells the decision module that a timer has fired, and again later if the event failed: the
+     * module sets its next timer only while it handles this one.
+     */
+    private void fireTimer(long label) {
+        boolean dispatched = false;
+        try {
+            dispatched = dispatch(new TimerFired(label));
+        } finally {
+            if (!dispatched) {
+                schedule(label, TIMER_RETRY_NS);
+            }
+        }
     }
 }
--- a/router/src/main/java/ashlink/router/core/DecisionThread.java
+++ b/router/src/main/java/ashlink/router/core/DecisionThread.java
@@ -1,5 +1,6 @@
 package ashlink.router.core;
 
+import ashlink.router.failure.FailureLog;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -64,7 +65,7 @@
                 return;
             } catch (RuntimeException | Error e) {
                 // If this thread ended, the router would accept requests but never respond.
-                LOG.error("decision task failed; the decision thread continues", e);
+                FailureLog.error(LOG, "decision task failed; the decision thread continues", e);
             }
         }
     }
