--- a/router/src/main/java/ashlink/router/core/Core.java
+++ b/router/src/main/java/ashlink/router/core/Core.java
@@ -143,7 +143,7 @@
                 new OpenRequest(id, source, request, sink, clock.nowNs() + request.timeLimitNs());
         requests.add(openRequest);
         openRequest.submission =
-                decisionThread.submit(source, () -> dispatcher.submit(openRequest));
+                decisionThread.submit(source, request.key(), () -> dispatcher.submit(openRequest));
         responder.watchDeadline(openRequest, () -> withdraw(openRequest));
         return id;
     }
@@ -168,7 +168,7 @@
     /** Takes a request that has its final response from the queue or the decision module. */
     private void withdraw(OpenRequest openRequest) {
         QueuedTask submission = openRequest.submission;
-        if (submission != null && decisionThread.withdraw(openRequest.source, submission)) {
+        if (submission != null && decisionThread.withdraw(submission)) {
             requests.removeIfDone(openRequest);
         } else {
             decisionThread.execute(() -> dispatcher.forget(openRequest));
--- a/router/src/main/java/ashlink/router/core/DecisionThread.java
+++ b/router/src/main/java/ashlink/router/core/DecisionThread.java
@@ -29,19 +29,23 @@
 
     /** Adds an event to the queue; does not block. */
     void execute(Runnable event) {
-        queue.addEvent(new QueuedTask(event, delays.nowNs()));
+        queue.addEvent(new QueuedTask(null, null, event, delays.nowNs()));
     }
 
-    /** Adds a submission to the queue; does not block. */
-    QueuedTask submit(RequestSource source, Runnable submission) {
-        QueuedTask task = new QueuedTask(submission, delays.nowNs());
-        queue.addSubmission(source, task);
+    /**
+     * Adds a submission to the queue; does not block.
+     *
+     * @param orderingKey key whose submissions keep their order over all sources, or null
+     */
+    QueuedTask submit(RequestSource source, String orderingKey, Runnable submission) {
+        QueuedTask task = new QueuedTask(source, orderingKey, submission, delays.nowNs());
+        queue.addSubmission(task);
         return task;
     }
 
     /** Removes a submission from the queue. Returns false if its turn has come. */
-    boolean withdraw(RequestSource source, QueuedTask submission) {
-        return queue.removeSubmission(source, submission);
+    boolean withdraw(QueuedTask submission) {
+        return queue.removeSubmission(submission);
     }
 
     /** Returns the number of queued tasks. */
