Router: the time to send a request again is asked for when it is sent

Cause: the window was looked at when the repeat was chosen; the repeat then waited 0.9 s for its connection.

An attempt that is too late ends unsent.

--- a/decisions/src/main/java/ashlink/decisions/RetryPolicy.java
+++ b/decisions/src/main/java/ashlink/decisions/RetryPolicy.java
@@ -2,6 +2,7 @@
 
 import ashlink.decisions.api.Outcome;
 import ashlink.decisions.api.QueryClass;
+import ashlink.decisions.api.RepeatWindow;
 import ashlink.decisions.api.RetrySafety;
 
 /**
@@ -34,8 +35,7 @@
 
     /**
      * Returns whether the query has no duplicate effect if it is sent to the engine: it never ran,
-     * is idempotent, or is deduplicated by the engine. One maintenance interval is subtracted from
-     * the deduplication window as a margin for the transfer to the engine.
+     * is idempotent, or is deduplicated by the engine within its {@link RepeatWindow}.
      */
     boolean allows(QueryState query, EngineState engine, long nowNs) {
         QueryClass queryClass = query.queryClass;
@@ -44,8 +44,7 @@
         }
         return queryClass.retrySafety() == RetrySafety.DEDUPLICATED
                 && sharesIdempotencyKeys(query, engine)
-                && nowNs - query.mayHaveRunSinceNs
-                        < queryClass.deduplicationWindowNs() - MaintenanceTask.INTERVAL_NS;
+                && nowNs < RepeatWindow.endNs(queryClass, query.mayHaveRunSinceNs);
     }
 
     private static boolean sharesIdempotencyKeys(QueryState query, EngineState engine) {
--- a/router/src/main/java/ashlink/router/core/Attempt.java
+++ b/router/src/main/java/ashlink/router/core/Attempt.java
@@ -4,6 +4,7 @@
 import ashlink.decisions.api.Outcome;
 import java.util.concurrent.Future;
 import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
 
 /**
  * One attempt to execute a request on an engine. A worker thread advances the attempt through its
@@ -40,6 +41,8 @@
     private final long startNs;
     private final int priority;
     private final long memoryMb;
+    private final LongSupplier clockNs;
+    private final long sendBeforeNs;
     private final BiConsumer<Attempt, AttemptEnd> endListener;
 
     // Fields guarded by this.
@@ -49,6 +52,12 @@
     private Runnable abortHandler;
     private Future<?> timeout;
 
+    /**
+     * Creates an attempt.
+     *
+     * @param clockNs clock of the core
+     * @param sendBeforeNs time from which on the statement must not be sent, on that clock
+     */
     Attempt(
             long id,
             int attemptNumber,
@@ -56,6 +65,8 @@
             long startNs,
             int priority,
             long memoryMb,
+            LongSupplier clockNs,
+            long sendBeforeNs,
             BiConsumer<Attempt, AttemptEnd> endListener) {
         this.id = id;
         this.attemptNumber = attemptNumber;
@@ -63,6 +74,8 @@
         this.startNs = startNs;
         this.priority = priority;
         this.memoryMb = memoryMb;
+        this.clockNs = clockNs;
+        this.sendBeforeNs = sendBeforeNs;
         this.endListener = endListener;
     }
 
@@ -88,6 +101,14 @@
         return startNs;
     }
 
+    /**
+     * Returns the time from which on the statement must not be sent, on the clock of the core;
+     * {@link Long#MAX_VALUE} if there is none.
+     */
+    public long sendBeforeNs() {
+        return sendBeforeNs;
+    }
+
     /** Returns the priority on the engine from 0 to 3, or -1 if the decision module set none. */
     public int priority() {
         return priority;
@@ -127,16 +148,24 @@
 
     /**
      * Advances to a phase. The worker calls this method before it writes the bytes that lead to the
-     * phase.
+     * phase. Where these bytes begin to send the statement, the attempt is aborted if the statement
+     * must not be sent any more: the attempt may have waited since it was started.
      *
      * @return false if the attempt has ended or was aborted; the worker then calls {@link #end}, so
      *     that the end is reported, and stops
      */
     public synchronized boolean advance(AttemptPhase next) {
-        if (!ended) {
-            phase = next;
+        if (ended) {
+            return false;
+        }
+        if (abortReason == null
+                && phase.beginsToSend(next)
+                && clockNs.getAsLong() >= sendBeforeNs) {
+            abortReason = AttemptEndReason.REPEAT_WINDOW_ENDED;
+            return false;
         }
-        return !ended && abortReason == null;
+        phase = next;
+        return abortReason == null;
     }
 
     /**
--- a/router/src/main/java/ashlink/router/core/AttemptEndReason.java
+++ b/router/src/main/java/ashlink/router/core/AttemptEndReason.java
@@ -32,6 +32,8 @@
     NO_CAPACITY,
     /** The engine started to drain or was deregistered before the first byte was sent. */
     ENGINE_DRAINING,
+    /** The statement may not be sent again any more: engines may have forgotten its key. */
+    REPEAT_WINDOW_ENDED,
     /** The connection to the engine could not be established. */
     CONNECT_FAILED,
     /** The connection was lost, or the engine violated the protocol. */
@@ -53,7 +55,8 @@
             case REJECTED -> phase == AttemptPhase.ANSWERING ? Outcome.RESET : Outcome.REJECTED;
             case STALE_REQUEST ->
                     phase == AttemptPhase.ANSWERING ? Outcome.RESET : Outcome.NOT_SENT;
-            case NO_CAPACITY, ENGINE_DRAINING -> phase.mayRun() ? Outcome.RESET : Outcome.NOT_SENT;
+            case NO_CAPACITY, ENGINE_DRAINING, REPEAT_WINDOW_ENDED ->
+                    phase.mayRun() ? Outcome.RESET : Outcome.NOT_SENT;
             case CONNECT_FAILED, CONNECTION_BROKEN ->
                     phase.mayRun() ? Outcome.RESET : Outcome.CONNECT_FAILED;
             case TIMED_OUT -> phase.mayRun() ? Outcome.TIMED_OUT : Outcome.NOT_SENT;
--- a/router/src/main/java/ashlink/router/core/AttemptPhase.java
+++ b/router/src/main/java/ashlink/router/core/AttemptPhase.java
@@ -42,6 +42,16 @@
         return mayRun() || isCompletingStatement();
     }
 
+    /**
+     * Returns true if an attempt in this phase sends, as its next step, something that leads to the
+     * execution of the statement if the next phase is the given one.
+     */
+    boolean beginsToSend(AttemptPhase next) {
+        return next == SENDING
+                || next == SENDING_DATA_END
+                || next == RUNNING && compareTo(SENDING) < 0;
+    }
+
     /**
      * Returns false if the engine lacks a part of the statement and therefore cannot have executed
      * it.
--- a/router/src/main/java/ashlink/router/core/AttemptRunner.java
+++ b/router/src/main/java/ashlink/router/core/AttemptRunner.java
@@ -5,6 +5,9 @@
 import ashlink.decisions.api.Event;
 import ashlink.decisions.api.Event.AttemptEnded;
 import ashlink.decisions.api.Outcome;
+import ashlink.decisions.api.QueryClass;
+import ashlink.decisions.api.RepeatWindow;
+import java.util.Map;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -19,6 +22,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(AttemptRunner.class);
 
+    private final Map<String, QueryClass> classes;
     private final CoreClock clock;
     private final DecisionThread thread;
     private final ScheduledThreadPoolExecutor timer;
@@ -29,15 +33,18 @@
     /**
      * Creates a runner.
      *
+     * @param classes query classes of the settings, by name
      * @param dispatcher passes an event to the decision module
      */
     AttemptRunner(
+            Map<String, QueryClass> classes,
             CoreClock clock,
             DecisionThread thread,
             ScheduledThreadPoolExecutor timer,
             OpenRequestTable requests,
             RequestMetrics metrics,
             Consumer<Event> dispatcher) {
+        this.classes = classes;
         this.clock = clock;
         this.thread = thread;
         this.timer = timer;
@@ -68,6 +75,8 @@
                         clock.nowNs(),
                         openRequest.priority,
                         openRequest.memoryMb,
+                        clock::nowNs,
+                        sendBeforeNs(openRequest),
                         (ended, end) -> onEnd(openRequest, ended, end));
         openRequest.attempt = attempt;
         // Reads the response after it sets the attempt: a thread that claims the response at the
@@ -84,6 +93,14 @@
         openRequest.sink.start(attempt);
     }
 
+    /** Returns the time from which on the statement of a request must not be sent. */
+    private long sendBeforeNs(OpenRequest openRequest) {
+        QueryClass queryClass = classes.get(openRequest.request.queryClass());
+        return openRequest.mayHaveRun && queryClass != null
+                ? RepeatWindow.endNs(queryClass, openRequest.mayHaveRunSinceNs)
+                : Long.MAX_VALUE;
+    }
+
     /** Cancels an attempt. Ignores the action if the attempt is not in flight. */
     void cancel(CancelAttempt cancelAttempt) {
         OpenRequest openRequest = requests.get(cancelAttempt.id());
@@ -110,7 +127,8 @@
         if (openRequest == null || openRequest.attempt != attempt) {
             return;
         }
-        if (end.outcome().mayHaveRun()) {
+        if (end.outcome().mayHaveRun() && !openRequest.mayHaveRun) {
+            openRequest.mayHaveRunSinceNs = attempt.startNs();
             openRequest.mayHaveRun = true;
         }
         if (end.answered()) {
--- a/router/src/main/java/ashlink/router/core/Core.java
+++ b/router/src/main/java/ashlink/router/core/Core.java
@@ -84,6 +84,7 @@
         dispatcher =
                 new DecisionDispatcher(
                         workloadManager,
+                        Map.copyOf(classes),
                         transport,
                         clock,
                         decisionThread,
--- a/router/src/main/java/ashlink/router/core/DecisionDispatcher.java
+++ b/router/src/main/java/ashlink/router/core/DecisionDispatcher.java
@@ -14,8 +14,10 @@
 import ashlink.decisions.api.Event.HealthCheckCompleted;
 import ashlink.decisions.api.Event.QuerySubmitted;
 import ashlink.decisions.api.Event.TimerFired;
+import ashlink.decisions.api.QueryClass;
 import ashlink.decisions.api.WorkloadManager;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -45,6 +47,7 @@
 
     DecisionDispatcher(
             WorkloadManager workloadManager,
+            Map<String, QueryClass> classes,
             EngineTransport transport,
             CoreClock clock,
             DecisionThread thread,
@@ -60,7 +63,8 @@
         this.timer = timer;
         this.requests = requests;
         this.metrics = metrics;
-        attemptRunner = new AttemptRunner(clock, thread, timer, requests, metrics, this::dispatch);
+        attemptRunner =
+                new AttemptRunner(classes, clock, thread, timer, requests, metrics, this::dispatch);
     }
 
     /** Sets the observer of decisions; may be called on any thread. */
--- a/router/src/main/java/ashlink/router/core/OpenRequest.java
+++ b/router/src/main/java/ashlink/router/core/OpenRequest.java
@@ -26,6 +26,9 @@
      */
     volatile boolean mayHaveRun;
 
+    /** Start of the first attempt in which it may have; used only by the decision thread. */
+    long mayHaveRunSinceNs;
+
     /** Number of attempts started so far. */
     int startedAttempts;
 
--- a/router/src/test/java/ashlink/router/core/AttemptEndReasonTest.java
+++ b/router/src/test/java/ashlink/router/core/AttemptEndReasonTest.java
@@ -21,7 +21,17 @@
     private final List<Attempt.AttemptEnd> ends = new ArrayList<>();
 
     private Attempt attempt(AttemptPhase phase) {
-        Attempt attempt = new Attempt(1, 0, "q1", 0, -1, 0, (ended, end) -> ends.add(end));
+        Attempt attempt =
+                new Attempt(
+                        1,
+                        0,
+                        "q1",
+                        0,
+                        -1,
+                        0,
+                        () -> 0,
+                        Long.MAX_VALUE,
+                        (ended, end) -> ends.add(end));
         attempt.advance(phase);
         return attempt;
     }
