--- a/cli/src/test/java/ashlink/cli/ArchitectureTest.java
+++ b/cli/src/test/java/ashlink/cli/ArchitectureTest.java
@@ -32,6 +32,8 @@
                     .definedBy("ashlink.config.flat..")
                     .layer("client protocol")
                     .definedBy("ashlink.platform.client.protocol..")
+                    .layer("collection")
+                    .definedBy("ashlink.platform.collection..")
                     .layer("engine protocol")
                     .definedBy("ashlink.platform.engine.protocol..")
                     .layer("socket")
@@ -92,6 +94,8 @@
                     .mayOnlyAccessLayers("decisions")
                     .whereLayer("client protocol")
                     .mayNotAccessAnyLayer()
+                    .whereLayer("collection")
+                    .mayNotAccessAnyLayer()
                     .whereLayer("engine protocol")
                     .mayNotAccessAnyLayer()
                     .whereLayer("failure")
@@ -100,12 +104,24 @@
                     .mayOnlyAccessLayers("failure")
                     .whereLayer("engine")
                     .mayOnlyAccessLayers(
-                            "decisions", "core", "failure", "flat", "engine protocol", "socket")
+                            "decisions",
+                            "core",
+                            "failure",
+                            "flat",
+                            "collection",
+                            "engine protocol",
+                            "socket")
                     .whereLayer("platform client")
                     .mayOnlyAccessLayers(
-                            "decisions", "core", "failure", "engine", "client protocol", "socket")
+                            "decisions",
+                            "core",
+                            "failure",
+                            "collection",
+                            "engine",
+                            "client protocol",
+                            "socket")
                     .whereLayer("platform discovery")
-                    .mayOnlyAccessLayers("flat", "socket")
+                    .mayOnlyAccessLayers("failure", "flat", "socket")
                     .whereLayer("platform")
                     .mayOnlyAccessLayers(
                             "decisions",
--- a/router/src/main/java/ashlink/router/core/Core.java
+++ b/router/src/main/java/ashlink/router/core/Core.java
@@ -78,13 +78,14 @@
         decisionThread = new DecisionThread(name + "-decisions", delays.stage("decision"));
         metrics.registerGauges(decisionThread::queuedTasks, requests::unansweredCount);
         timer = DaemonTimer.create(name + "-timer");
+        Map<String, QueryClass> classesByName = Map.copyOf(classes);
         responder =
                 new FallbackResponder(
-                        Map.copyOf(classes), clock, timer, requests, delays.stage("deadline"));
+                        classesByName, clock, timer, requests, delays.stage("deadline"));
         dispatcher =
                 new DecisionDispatcher(
                         workloadManager,
-                        Map.copyOf(classes),
+                        classesByName,
                         transport,
                         clock,
                         decisionThread,
--- a/router/src/main/java/ashlink/router/core/DecisionDispatcher.java
+++ b/router/src/main/java/ashlink/router/core/DecisionDispatcher.java
@@ -16,6 +16,7 @@
 import ashlink.decisions.api.Event.TimerFired;
 import ashlink.decisions.api.QueryClass;
 import ashlink.decisions.api.WorkloadManager;
+import ashlink.router.failure.FailureLog;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -32,7 +33,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(DecisionDispatcher.class);
 
-    private static final long TIMER_RETRY_NS = TimeUnit.MILLISECONDS.toNanos(100);
+    /** Time after which a timer whose event failed fires again. */
+    static final long TIMER_RETRY_NS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final WorkloadManager workloadManager;
     private final EngineTransport transport;
@@ -77,16 +79,16 @@
     /**
      * Passes an event to the decision module and performs the resulting actions.
      *
-     * @return false if the decision module threw an exception
+     * @return false if the decision module failed
      */
     boolean dispatch(Event event) {
         List<Action> actions;
         long nowNs = clock.nowNs();
         try {
             actions = workloadManager.onEvent(event, nowNs);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             metrics.onDecisionError();
-            LOG.error("decision module failed event=\"{}\"", event, e);
+            FailureLog.error(LOG, "decision module failed event=\"{}\"", event, e);
             return false;
         }
         observer.onDecision(event, nowNs, actions);
@@ -227,13 +229,8 @@
      * module sets its next timer only while it handles this one.
      */
     private void fireTimer(long label) {
-        boolean dispatched = false;
-        try {
-            dispatched = dispatch(new TimerFired(label));
-        } finally {
-            if (!dispatched) {
-                schedule(label, TIMER_RETRY_NS);
-            }
+        if (!dispatch(new TimerFired(label))) {
+            schedule(label, TIMER_RETRY_NS);
         }
     }
 }
--- a/router/src/main/java/ashlink/router/failure/FailureLog.java
+++ b/router/src/main/java/ashlink/router/failure/FailureLog.java
@@ -12,10 +12,15 @@
 
     private FailureLog() {}
 
-    /** Logs a failure. Never throws. */
-    public static void error(Logger logger, String message, Throwable failure) {
+    /**
+     * Logs a failure. Never throws.
+     *
+     * @param format the event and its values, with a placeholder for each value
+     * @param arguments the values, and the failure last
+     */
+    public static void error(Logger logger, String format, Object... arguments) {
         try {
-            logger.error(message, failure);
+            logger.error(format, arguments);
         } catch (RuntimeException | Error e) {
             reportLostLine();
         }
--- a/router/src/test/java/ashlink/router/core/FailingTasksTest.java
+++ b/router/src/test/java/ashlink/router/core/FailingTasksTest.java
@@ -1,9 +1,11 @@
 package ashlink.router.core;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import ashlink.decisions.api.Action.SetTimer;
+import ashlink.decisions.api.Action.StartAttempt;
+import ashlink.decisions.api.Event.QuerySubmitted;
 import ashlink.decisions.api.Event.TimerFired;
-import ashlink.decisions.api.LoadReport;
-import ashlink.decisions.api.Outcome;
 import ashlink.decisions.api.WorkloadManager;
 import java.util.List;
 import java.util.Map;
@@ -18,17 +20,15 @@
 
     private static final long NS_PER_MS = 1_000_000;
 
-    private final CoreClock clock = new CoreClock();
-    private final DelayMonitor delays = new DelayMonitor(clock::nowNs);
-
     /** Guards against maintenance that ends with the first event that failed. */
     @Test
     void aTimerWhoseEventFailedFiresAgain() throws InterruptedException {
         CountDownLatch firedAgain = new CountDownLatch(1);
-        Core core = core(failingOnce(firedAgain));
+        Core core = TestCores.create(failingOnce(firedAgain), Map.of(), new CoreClock());
         core.start();
         core.submit(
-                new CoreRequest("any", null, 0, 60_000 * NS_PER_MS, 0, 0, ""), ignoreResponses());
+                new CoreRequest("any", null, 0, 60_000 * NS_PER_MS, 0, 0, ""),
+                new TestCores.IgnoredResponses());
         firedAgain.await();
         core.kill();
     }
@@ -48,32 +48,39 @@
         };
     }
 
-    private Core core(WorkloadManager workloadManager) {
-        return new Core(
-                "test",
-                workloadManager,
-                Map.of(),
-                (engine, listener) ->
-                        listener.onHealthCheckCompleted(Outcome.SERVED, LoadReport.NONE),
-                clock,
-                new AdmissionLimits(10, 10, 10),
-                RequestMetrics.NONE,
-                delays);
-    }
-
-    private static ResponseSink ignoreResponses() {
-        return new ResponseSink() {
-            @Override
-            public void start(Attempt attempt) {}
-
-            @Override
-            public void reject(long retryAfterNs) {}
-
-            @Override
-            public void fail() {}
-
-            @Override
-            public void abortPartial(Outcome outcome) {}
-        };
+    /** Guards against a second series of maintenance behind an action that failed. */
+    @Test
+    void aTimerWhoseNextOneIsSetFiresOnceHoweverItsActionsEnd() throws InterruptedException {
+        AtomicInteger fired = new AtomicInteger();
+        CoreClock clock = new CoreClock();
+        Core core =
+                TestCores.create(
+                        (event, nowNs) -> {
+                            if (event instanceof QuerySubmitted) {
+                                return List.of(new SetTimer(1, nowNs));
+                            }
+                            return event instanceof TimerFired && fired.incrementAndGet() == 1
+                                    ? List.of(
+                                            new SetTimer(1, nowNs + NS_PER_MS),
+                                            new StartAttempt(1, "e", 60_000 * NS_PER_MS))
+                                    : List.of();
+                        },
+                        Map.of(),
+                        clock);
+        core.start();
+        core.submit(
+                new CoreRequest("any", null, 0, 60_000 * NS_PER_MS, 0, 0, ""),
+                new TestCores.IgnoredResponses() {
+                    @Override
+                    public void start(Attempt attempt) {
+                        throw new OutOfMemoryError("in an action");
+                    }
+                });
+        long startNs = clock.nowNs();
+        while (clock.nowNs() - startNs < 4 * DecisionDispatcher.TIMER_RETRY_NS) {
+            Thread.sleep(1);
+        }
+        assertEquals(2, fired.get());
+        core.kill();
     }
 }
--- a/router/src/test/java/ashlink/router/core/RepeatWindowTest.java
+++ b/router/src/test/java/ashlink/router/core/RepeatWindowTest.java
@@ -11,7 +11,6 @@
 import ashlink.decisions.api.Event;
 import ashlink.decisions.api.Event.AttemptEnded;
 import ashlink.decisions.api.Event.QuerySubmitted;
-import ashlink.decisions.api.LoadReport;
 import ashlink.decisions.api.Outcome;
 import ashlink.decisions.api.QueryClass;
 import ashlink.decisions.api.RetrySafety;
@@ -110,7 +109,11 @@
         List<Outcome> outcomes = new CopyOnWriteArrayList<>();
         BlockingQueue<Attempt> attempts = new LinkedBlockingQueue<>();
         CountDownLatch failed = new CountDownLatch(1);
-        Core core = core(clock, outcomes);
+        Core core =
+                TestCores.create(
+                        (event, nowNs) -> repeatOnce(event, outcomes),
+                        Map.of(KEYED.name(), KEYED),
+                        clock);
         core.start();
         core.submit(
                 new CoreRequest("keyed", null, 0, 60_000 * MS, 0, 0, ""), sink(attempts, failed));
@@ -130,20 +133,6 @@
         core.kill();
     }
 
-    private static Core core(CoreClock clock, List<Outcome> outcomes) {
-        DelayMonitor delays = new DelayMonitor(clock::nowNs);
-        return new Core(
-                "test",
-                (event, nowNs) -> repeatOnce(event, outcomes),
-                Map.of(KEYED.name(), KEYED),
-                (engine, listener) ->
-                        listener.onHealthCheckCompleted(Outcome.SERVED, LoadReport.NONE),
-                clock,
-                new AdmissionLimits(10, 10, 10),
-                RequestMetrics.NONE,
-                delays);
-    }
-
     private static List<Action> repeatOnce(Event event, List<Outcome> outcomes) {
         if (event instanceof QuerySubmitted submitted) {
             return List.of(new StartAttempt(submitted.id(), "e", 60_000 * MS));
@@ -158,22 +147,16 @@
     }
 
     private static ResponseSink sink(BlockingQueue<Attempt> attempts, CountDownLatch failed) {
-        return new ResponseSink() {
+        return new TestCores.IgnoredResponses() {
             @Override
             public void start(Attempt attempt) {
                 attempts.add(attempt);
             }
 
-            @Override
-            public void reject(long retryAfterNs) {}
-
             @Override
             public void fail() {
                 failed.countDown();
             }
-
-            @Override
-            public void abortPartial(Outcome outcome) {}
         };
     }
 }
